--- a/include/toucanmux/proxy/inet-address.h
+++ b/include/toucanmux/proxy/inet-address.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +14,11 @@
   std::uint16_t port = 0;
 
   bool operator==(const inet_address&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(CEREAL_NVP(ip), CEREAL_NVP(port));
+  }
 };
 
 /// Reads `10.1.0.26:8465`; nothing if it is anything else.
--- /dev/null
+++ b/include/toucanmux/proxy/peer-message.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <variant>
+
+#include "toucanmux/proxy/peer-report.h"
+#include "toucanmux/proxy/position-messages.h"
+#include "toucanmux/proxy/upstream-news.h"
+
+namespace toucanmux {
+
+/// What proxy instances send each other.
+using peer_message = std::variant<peer_report, position_question,
+                                  position_answer, upstream_news>;
+
+}  // namespace toucanmux
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -13,10 +13,12 @@
 struct peer_report {
   std::uint32_t domain = 0;  ///< The low bits of the name's stable hash.
   std::uint64_t stamp = 0;   ///< The sender's steady time in microseconds.
-  std::uint64_t echo = 0;    ///< The last stamp heard from the receiver.
   bool leaving = false;
-  bool wants_reply = false;  ///< The sender does not reach the store.
-  bool settled = false;      ///< The levels in `uses` may be taken over.
+  bool lacks_store = false;  ///< The sender does not reach the store.
+  bool wants_reply = false;
+  bool settled = false;        ///< The levels in `uses` may be taken over.
+  std::uint32_t capacity = 0;  ///< Thousandths of a core.
+  std::uint64_t upstream_revision = 0;  ///< Of what it knows of discovery.
   std::uint64_t config_revision = 0;
   std::uint32_t config_age_ms = 0;  ///< Since the revision was proven.
   bounded_list<team_use, 1024> uses;
@@ -24,10 +26,11 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(CEREAL_NVP(domain), CEREAL_NVP(stamp), CEREAL_NVP(echo),
-            CEREAL_NVP(leaving), CEREAL_NVP(wants_reply), CEREAL_NVP(settled),
-            CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
-            CEREAL_NVP(uses), CEREAL_NVP(sightings));
+    archive(CEREAL_NVP(domain), CEREAL_NVP(stamp), CEREAL_NVP(leaving),
+            CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
+            CEREAL_NVP(settled), CEREAL_NVP(capacity),
+            CEREAL_NVP(upstream_revision), CEREAL_NVP(config_revision),
+            CEREAL_NVP(config_age_ms), CEREAL_NVP(uses), CEREAL_NVP(sightings));
   }
 };
 
--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "toucanmux/core.h"
@@ -46,11 +47,21 @@
   };
 
   rate_ledger() : rate_ledger(settings()) {}
-  explicit rate_ledger(const settings& values) : settings_(values) {}
+  explicit rate_ledger(const settings& values)
+      : settings_(values), silent_after_(values.silent_after) {}
+
+  ~rate_ledger() = default;
+  rate_ledger(const rate_ledger&) = delete;
+  rate_ledger(rate_ledger&&) = default;
+  rate_ledger& operator=(const rate_ledger&) = delete;
+  rate_ledger& operator=(rate_ledger&&) = default;
 
   /// Takes the plans in force. What a new team has used before is unknown: it
   /// starts with a part of its burst, until a peer tells more.
   void configure(instant now, std::span<const team_plan> plans);
+  /// Reports of one peer may come so far apart that only longer silence says
+  /// anything.
+  void expect_reports_every(duration interval);
   /// A peer that exists, heard or not.
   void expect_peer(instant now, const member_id& peer);
   /// A peer that left for good: nothing stays reserved for it.
@@ -76,6 +87,7 @@
 
  private:
   struct peer_use {
+    std::uint64_t incarnation = 0;  ///< Of the peer, that it counts for.
     std::uint32_t admitted = 0;
     std::uint32_t wanted = 0;
     double admit_rate = 0;  ///< Operations a second, last interval.
@@ -94,6 +106,7 @@
   struct peer_account {
     std::uint64_t incarnation = 0;
     instant heard;
+    instant began;  ///< Its first report of this incarnation.
     bool ever_heard = false;
     bool silent = true;
     std::map<std::uint32_t, peer_use> uses;
@@ -116,7 +129,9 @@
     double expected_rate = 0;  ///< Sum of the fresh peers' rates.
   };
 
-  double even_share(std::uint32_t team) const;
+  account* find(std::uint32_t team);
+  duration refresh_interval() const;
+  double even_share(std::uint32_t team);
   void adopt(instant now, const team_use& use);
   void spend(instant now, std::uint32_t team, double count);
   void refresh(instant now);
@@ -130,7 +145,9 @@
 
   settings settings_;
   std::map<team_id, account> accounts_;
+  std::unordered_map<std::uint32_t, account*> by_key_;  ///< Into `accounts_`.
   std::map<member_id, peer_account> peers_;
+  duration silent_after_;
   instant refreshed_;
   instant started_;
   bool heard_settled_ = false;
--- a/include/toucanmux/proxy/upstream-entry.h
+++ b/include/toucanmux/proxy/upstream-entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cereal/cereal.hpp>
 #include <cstdint>
 #include <string>
 
@@ -14,12 +15,18 @@
   group_id group;
   inet_address address;
   domain_id domain;
-  unsigned slots = 0;
   bool draining = false;
   bool claims_lead = false;
   std::uint64_t sequence = 0;  ///< Grows with each heartbeat.
   std::uint64_t born_ms = 0;   ///< Start of this incarnation, Unix time.
   std::uint64_t revision = 0;  ///< The store's, of the entry's last change.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(CEREAL_NVP(id), CEREAL_NVP(group), CEREAL_NVP(address),
+            CEREAL_NVP(domain), CEREAL_NVP(draining), CEREAL_NVP(claims_lead),
+            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(revision));
+  }
 };
 
 }  // namespace toucanmux
--- a/src/proxy/connection-share.cc
+++ b/src/proxy/connection-share.cc
@@ -12,6 +12,17 @@
 // Connections left free for the moment in which views of the members differ.
 constexpr unsigned spare_part = 6;
 
+// With fewer of its own an instance could not serve two teams in turn.
+constexpr unsigned least_share = 2;
+// What one instance may borrow: a part of the limit, so that a single busy
+// instance leaves room for the others.
+constexpr unsigned borrowed_part = 16;
+constexpr unsigned least_borrowed = 2;
+
+unsigned usable_connections(unsigned max_connections) {
+  return max_connections - max_connections / spare_part;
+}
+
 std::uint64_t rank_hash(const member_id& member, std::string_view upstream) {
   return stable_hash(member.value + '/' + std::string(upstream));
 }
@@ -21,8 +32,7 @@
 unsigned connection_share(const member_id& self,
                           std::span<const member_id> members,
                           std::string_view upstream, unsigned max_connections) {
-  unsigned usable =
-      max_connections - std::min(max_connections, max_connections / spare_part);
+  unsigned usable = usable_connections(max_connections);
   auto count = static_cast<unsigned>(std::max<std::size_t>(members.size(), 1));
   unsigned each = usable / count;
   unsigned rest = usable % count;
@@ -35,4 +45,19 @@
   return each + (static_cast<unsigned>(before) < rest ? 1 : 0);
 }
 
+connection_allowance allow_connections(const member_id& self,
+                                       std::span<const member_id> members,
+                                       std::string_view upstream,
+                                       unsigned max_connections) {
+  connection_allowance out;
+  out.share = connection_share(self, members, upstream, max_connections);
+  auto needed = members.size() * least_share;
+  out.borrows = needed > usable_connections(max_connections);
+  out.most = out.share;
+  if (out.borrows) {
+    out.most = std::max(max_connections / borrowed_part, least_borrowed);
+  }
+  return out;
+}
+
 }  // namespace toucanmux
--- a/src/proxy/http-caller.h
+++ b/src/proxy/http-caller.h
@@ -41,7 +41,6 @@
 
   /// `done` is called once, from the loop.
   void call(http_call what, duration limit, handler done);
-  bool busy() const { return running_ || !line_.empty(); }
   std::uint64_t calls() const { return calls_; }
 
   void on_open() override;
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -36,13 +36,8 @@
     : loop_(loop),
       settings_path_(std::move(settings_path)),
       state_(loop, settings),
-      peers_(state_,
-             [this] {
-               auto members = peers_.members();
-               for (auto& [id, group] : state_.groups) {
-                 group->set_members(members);
-               }
-             }),
+      peers_(state_, {[this] { share_connections(); },
+                      [this](const auto& news) { store_.take_news(news); }}),
       store_(state_, peers_),
       leaders_(state_, peers_, store_),
       drain_(drain_settings()),
@@ -137,7 +132,6 @@
 void proxy_process::reload() {
   try {
     auto next = read_proxy_settings(settings_path_);
-    state_.settings.apply_bound = next.apply_bound;
     state_.settings.stop_bound = next.stop_bound;
     state_.log.write(journal_event::process, "reloaded",
                      {{"path", settings_path_}});
@@ -189,6 +183,11 @@
   }
 }
 
+void proxy_process::share_connections() {
+  const auto& members = peers_.members();
+  for (auto& [id, group] : state_.groups) group->set_members(members);
+}
+
 void proxy_process::update_metrics() {
   auto& metrics = state_.metrics;
   metrics.set("sessions", static_cast<double>(sessions_.size()));
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -48,6 +48,7 @@
   void check_partition();
   void drain_tick();
   void close_resting();
+  void share_connections();
   void update_metrics();
 
   event_loop& loop_;
--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -21,9 +21,9 @@
   inet_address failover;     ///< Where a new leader is named.
   duration heartbeat{0};     ///< Of databases.
   duration revoke_bound{0};  ///< A withdrawn key runs nothing after it.
-  duration apply_bound{0};   ///< A configuration is in force after it.
   duration drain_bound{0};   ///< A draining database gets nothing after it.
   std::size_t most_sessions = 2000;  ///< Callers beyond it are turned away.
+  std::uint32_t capacity = 0;        ///< Thousandths of a core.
   bool logs = true;                  ///< Off only to measure what logs cost.
   duration stop_bound{0};  ///< From SIGTERM until the process is killed.
 };
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -9,7 +9,14 @@
 
 namespace {
 
+// A datagram may be lost, and the next one be late.
+constexpr int missed_reports = 3;
+// One report may come in several datagrams.
+constexpr duration report_parts = std::chrono::milliseconds(50);
 constexpr duration refresh_every = std::chrono::milliseconds(100);
+// Looking at all peers takes about 8 us a peer with 86 teams; so often it is a
+// thousandth of a core.
+constexpr duration refresh_each_peer = std::chrono::milliseconds(6);
 // Weight of the newest interval in a smoothed demand.
 constexpr double demand_weight = 0.4;
 // Operations a second that every instance counts as wanting, so that a share
@@ -58,9 +65,20 @@
     kept.emplace(plan.team, next);
   }
   accounts_ = std::move(kept);
+  by_key_.clear();
+  for (auto& [team, entry] : accounts_) by_key_[entry.key] = &entry;
   refresh(now);
 }
 
+rate_ledger::account* rate_ledger::find(std::uint32_t team) {
+  auto found = by_key_.find(team);
+  return found != by_key_.end() ? found->second : nullptr;
+}
+
+void rate_ledger::expect_reports_every(duration interval) {
+  silent_after_ = std::max(settings_.silent_after, interval * missed_reports);
+}
+
 void rate_ledger::expect_peer(instant now, const member_id& peer) {
   auto [at, fresh] = peers_.try_emplace(peer);
   if (!fresh) return;
@@ -74,11 +92,19 @@
                               std::uint64_t incarnation, bool settled,
                               std::span<const team_use> uses) {
   peer_account& from = peers_[id];
-  bool first = !from.ever_heard || from.incarnation != incarnation;
+  bool begins = !from.ever_heard || from.incarnation != incarnation;
+  if (begins) from.began = now;
   // What a peer admits while it is silent was reserved for it.
-  bool reserved = from.ever_heard && from.silent && !first;
+  bool reserved = from.ever_heard && from.silent && !begins;
   for (const auto& use : uses) {
     peer_use& known = from.uses[use.team];
+    bool unseen = known.incarnation != incarnation;
+    bool first = unseen && now - from.began < report_parts;
+    if (unseen) {
+      known.incarnation = incarnation;
+      known.admitted = known.wanted = 0;
+      known.reported = known.measured = now;
+    }
     if (first) {
       // Only a peer that is new itself has spent what nobody knows of.
       known.admitted = settled ? use.admitted : 0;
@@ -91,6 +117,7 @@
     double since = seconds(now - known.reported);
     // What was expected of the peer has been spent as the time passed.
     double expected = first || reserved ? 0 : known.admit_rate * since;
+    double rate_before = from.ever_heard && !from.silent ? known.admit_rate : 0;
     known.fresh_admitted += admitted;
     known.fresh_wanted += wanted;
     double measured = seconds(now - known.measured);
@@ -113,13 +140,25 @@
       // A peer that is new as well has spent what it admitted so far.
       spend(now, use.team, admitted - expected);
     }
+    if (account* team = find(use.team)) {
+      advance(now, *team);
+      team->expected_rate += known.admit_rate - rate_before;
+    }
   }
+  bool counted = from.ever_heard && !from.silent;
   from.incarnation = incarnation;
   from.heard = now;
   from.ever_heard = true;
   from.silent = false;
   heard_settled_ = heard_settled_ || settled;
-  refresh(now);
+  // The shares of all change with a peer that was not counted; else it is
+  // enough to look at them now and then: that takes peers times teams.
+  if (!counted || now - refreshed_ >= refresh_interval()) refresh(now);
+}
+
+duration rate_ledger::refresh_interval() const {
+  auto peers = static_cast<duration::rep>(peers_.size());
+  return std::max(refresh_every, refresh_each_peer * peers);
 }
 
 bool rate_ledger::settled(instant now) const {
@@ -130,36 +169,31 @@
 // A new instance knows nothing of what was used before it came.
 void rate_ledger::adopt(instant now, const team_use& use) {
   if (now - started_ > settings_.settle_after) return;
-  for (auto& [id, entry] : accounts_) {
-    if (entry.key != use.team || entry.told) continue;
-    advance(now, entry);
-    entry.level = std::min<double>(use.level, entry.burst);
-    entry.told = true;
-  }
+  account* entry = find(use.team);
+  if (!entry || entry->told) return;
+  advance(now, *entry);
+  entry->level = std::min<double>(use.level, entry->burst);
+  entry->told = true;
 }
 
-double rate_ledger::even_share(std::uint32_t team) const {
-  for (const auto& [id, entry] : accounts_) {
-    if (entry.key != team) continue;
-    return entry.rate / static_cast<double>(peers_.size() + 1);
-  }
-  return 0;
+double rate_ledger::even_share(std::uint32_t team) {
+  const account* entry = find(team);
+  return entry ? entry->rate / static_cast<double>(peers_.size() + 1) : 0;
 }
 
 void rate_ledger::spend(instant now, std::uint32_t team, double count) {
-  for (auto& [id, entry] : accounts_) {
-    if (entry.key != team) continue;
-    advance(now, entry);
-    // What lies longer back than the bucket is deep matters no more.
-    double deepest = -deepest_debt * std::max(entry.burst, 1.0);
-    entry.level = std::clamp(entry.level - count, deepest, entry.burst);
-  }
+  account* entry = find(team);
+  if (!entry) return;
+  advance(now, *entry);
+  // What lies longer back than the bucket is deep matters no more.
+  double deepest = -deepest_debt * std::max(entry->burst, 1.0);
+  entry->level = std::clamp(entry->level - count, deepest, entry->burst);
 }
 
 rate_ledger::verdict rate_ledger::admit(instant now, const team_id& team) {
   auto found = accounts_.find(team);
   if (found == accounts_.end()) return {false, std::chrono::seconds(1)};
-  if (now - refreshed_ >= refresh_every) refresh(now);
+  if (now - refreshed_ >= refresh_interval()) refresh(now);
   account& entry = found->second;
   ++entry.wanted;
   advance(now, entry);
@@ -248,7 +282,7 @@
            now - item.second.heard > settings_.forget_after;
   });
   for (auto& [id, entry] : peers_) {
-    if (entry.silent || now - entry.heard <= settings_.silent_after) continue;
+    if (entry.silent || now - entry.heard <= silent_after_) continue;
     // Its reserved share stands for what it does from now on.
     for (auto& [team, use] : entry.uses) use.admit_rate = 0;
     reserve_share(entry);
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -26,7 +26,13 @@
 // silent.
 constexpr duration watch_wait = seconds(6);
 constexpr duration watch_limit = seconds(8);
-constexpr duration removal_interval = seconds(30);
+// News of the reader take a millisecond; one datagram of them may be lost.
+constexpr duration news_late = milliseconds(500);
+// An instance makes sure so often that others find its record and that it has
+// theirs: a record may be removed or be written by one that was cut off.
+constexpr duration check_interval = seconds(40);
+// More changes at once than a datagram holds are read from the store.
+constexpr std::size_t most_changes = 8;
 
 }  // namespace
 
@@ -48,11 +54,26 @@
              state_.proof.age(now) >= read_interval();
   if (due && !reading_ && now >= next_read_) read_config();
   if (revision_ == 0 && !listing_ && now >= next_list_) list_upstreams({});
-  if (revision_ != 0 && !watching_ && now >= next_watch_) watch_upstreams();
+  if (lags_behind_reader()) revision_ = 0;
+  bool watches = peers_.reads_for_domain() && revision_ != 0 && !watching_;
+  if (watches && now >= next_watch_) watch_upstreams();
   if (now < next_members_) return;
-  if (!registered_ && !registering_) register_self();
+  if (!registered_ && !registering_ && !listing_members_) register_self();
   if (registered_ && !members_listed_ && !listing_members_) list_members({});
-  if (now >= next_removal_) remove_silent();
+  if (members_listed_ && now >= next_check_) check_members();
+}
+
+// Only the reader of the failure domain watches; a news of it may be lost.
+bool store_sync::lags_behind_reader() {
+  if (revision_ == 0 || peers_.upstream_revision() <= changed_revision_) {
+    lags_since_.reset();
+    return false;
+  }
+  instant now = state_.loop.now();
+  if (!lags_since_) lags_since_ = now;
+  if (now - *lags_since_ < news_late) return false;
+  lags_since_.reset();
+  return true;
 }
 
 duration store_sync::read_interval() const {
@@ -161,18 +182,28 @@
 
 void store_sync::finish_list() {
   std::set<database_id> present;
+  std::uint64_t newest = 0;
   for (const auto& entry : listed_) {
     present.insert(entry.id);
+    newest = std::max(newest, entry.revision);
     place(entry);
   }
   for (auto& [id, group] : state_.groups) {
     for (const auto* up : group->all()) {
-      if (!present.contains(up->entry.id)) group->remove_entry(up->entry.id);
+      if (up->removed || present.contains(up->entry.id)) continue;
+      group->remove_entry(up->entry.id);
+      newest = revision_;  // Nothing in the list tells when it went.
     }
   }
   listed_.clear();
   upstreams_known_ = true;
-  watch_upstreams();
+  note_change(newest);
+  if (peers_.reads_for_domain()) watch_upstreams();
+}
+
+void store_sync::note_change(std::uint64_t revision) {
+  changed_revision_ = std::max(changed_revision_, revision);
+  peers_.set_upstream_revision(changed_revision_);
 }
 
 void store_sync::place(const upstream_entry& entry) {
@@ -218,7 +249,38 @@
     }
   }
   if (events->revision != 0) revision_ = events->revision;
-  watch_upstreams();
+  if (!events->events.empty()) tell_news(*events);
+  if (peers_.reads_for_domain()) watch_upstreams();
+}
+
+// Who misses the news, or finds too many in them, lists the databases anew
+// once a report shows that it lags.
+void store_sync::tell_news(const store_api::upstream_events& events) {
+  upstream_news news;
+  news.from_revision = changed_revision_;
+  note_change(events.revision);
+  news.to_revision = changed_revision_;
+  if (events.events.size() > most_changes) return;
+  for (const auto& event : events.events) {
+    if (!event.removed && !event.readable) continue;
+    news.changes.items.push_back({event.removed, event.entry});
+  }
+  peers_.tell(news);
+}
+
+void store_sync::take_news(const upstream_news& news) {
+  bool follows = revision_ != 0 && changed_revision_ >= news.from_revision &&
+                 changed_revision_ < news.to_revision;
+  if (!follows) return;
+  for (const auto& change : news.changes.items) {
+    if (change.removed) {
+      remove(change.entry.id);
+    } else {
+      place(change.entry);
+    }
+  }
+  revision_ = std::max(revision_, news.to_revision);
+  note_change(news.to_revision);
 }
 
 void store_sync::look_at(const group_id& group, const database_id& id) {
@@ -269,6 +331,7 @@
 }
 
 void store_sync::list_members(const std::string& after) {
+  if (after.empty()) recorded_.clear();
   listing_members_ = true;
   next_members_ = state_.loop.now() + retry_interval;
   store_.call(
@@ -283,17 +346,36 @@
   if (!good) return;
   auto page = store_api::parse_members(result.body);
   if (!page) return;
-  for (const auto& member : page->members) peers_.add(member);
+  for (const auto& member : page->members) {
+    peers_.add(member);
+    recorded_.insert(member.id);
+  }
   if (!page->continue_after.empty()) return list_members(page->continue_after);
+  registered_ = recorded_.contains(state_.settings.self);
+  forget_unrecorded();
   members_listed_ = true;
-  next_removal_ = state_.loop.now() + removal_interval;
+  next_check_ = state_.loop.now() + check_interval;
+}
+
+// Another instance has removed the records of those that are gone.
+void store_sync::forget_unrecorded() {
+  for (const auto& gone : peers_.long_silent()) {
+    if (!recorded_.contains(gone.id)) peers_.remove(gone.id);
+  }
+}
+
+// Both happen to an instance that lives while a partition lasts: its record is
+// removed, and instances come that it does not hear of.
+void store_sync::check_members() {
+  remove_silent();
+  registered_ = members_listed_ = false;
+  list_members({});
 }
 
 // Records of instances that have long been gone; one of each domain's peers
 // is enough to remove them.
 void store_sync::remove_silent() {
-  next_removal_ = state_.loop.now() + removal_interval;
-  if (!members_listed_ || !peers_.reads_for_domain()) return;
+  if (!peers_.reads_for_domain()) return;
   for (const auto& gone : peers_.long_silent()) {
     if (gone.domain != state_.settings.domain) continue;
     store_.call(store_api::remove_member(gone.id), call_limit,
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,9 @@
   /// True once the databases have been listed.
   bool upstreams_known() const { return upstreams_known_; }
 
+  /// The failure domain's reader tells what has changed.
+  void take_news(const upstream_news& news);
+
   /// Reads one database's entry for its group's leader watch.
   void look_at(const group_id& group, const database_id& id);
 
@@ -37,12 +42,17 @@
   void finish_list();
   void watch_upstreams();
   void take_events(http_result&& result);
+  void tell_news(const store_api::upstream_events& events);
+  void note_change(std::uint64_t revision);
+  bool lags_behind_reader();
   void place(const upstream_entry& entry);
   void remove(const database_id& id);
   void register_self();
   void take_registration(http_result&& result);
   void list_members(const std::string& after);
   void take_members(http_result&& result);
+  void check_members();
+  void forget_unrecorded();
   void remove_silent();
   void note_store(bool reached, std::string_view call);
   duration read_interval() const;
@@ -58,6 +68,9 @@
   instant next_list_;
   std::vector<upstream_entry> listed_;
   std::uint64_t revision_ = 0;  ///< Watched from; 0 lists first.
+  /// Of the last change in discovery that is known here.
+  std::uint64_t changed_revision_ = 0;
+  std::optional<instant> lags_since_;
   bool watching_ = false;
   instant next_watch_;
   bool upstreams_known_ = false;
@@ -65,8 +78,9 @@
   bool registering_ = false;
   bool members_listed_ = false;
   bool listing_members_ = false;
+  std::set<member_id> recorded_;  ///< Found by the last listing.
   instant next_members_;
-  instant next_removal_;
+  instant next_check_;
   bool store_reached_ = true;
   unsigned failures_ = 0;
 };
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -22,8 +22,8 @@
 constexpr duration probe_after = milliseconds(400);
 constexpr duration sample_age = milliseconds(600);
 constexpr duration samples_wanted_for = seconds(3);
-// A link without use for so long is given back.
-constexpr duration idle_limit = milliseconds(1500);
+// Samples that others ask for are kept fresher: they grow older on the way.
+constexpr duration shared_sample_age = milliseconds(300);
 
 }  // namespace
 
@@ -94,16 +94,31 @@
   return false;
 }
 
+bool upstream_group::samples_are_wanted(duration older_than) const {
+  instant now = loop_.now();
+  return now - samples_wanted_ < samples_wanted_for &&
+         now - samples_.newest_time() > older_than;
+}
+
+bool upstream_group::needs_samples() const {
+  auto index = leader_index();
+  return index && !prober_ && upstreams_[*index]->allowed.borrows &&
+         samples_are_wanted(shared_sample_age);
+}
+
+bool upstream_group::probes(const upstream& what) const {
+  return prober_ || !what.allowed.borrows;
+}
+
 void upstream_group::probe_leader() {
   instant now = loop_.now();
   auto index = leader_index();
   if (!index) return;
   upstream& up = *upstreams_[*index];
-  if (up.suspended) return;
+  if (up.suspended || !probes(up)) return;
   bool quiet = !up.answered || now - *up.answered > probe_after;
-  bool wanted = now - samples_wanted_ < samples_wanted_for &&
-                now - samples_.newest_time() > sample_age;
-  if (!quiet && !wanted) return;
+  auto age = up.allowed.borrows ? shared_sample_age : sample_age;
+  if (!quiet && !samples_are_wanted(age)) return;
   if (upstream_link* idle = exchangeable(up)) {
     ++up.in_flight;
     idle->send_probe();
@@ -112,21 +127,29 @@
   }
 }
 
-// Gives back what is beyond the share and what has long been idle.
+// Gives back what is beyond the share and what has been idle too long.
 void upstream_group::trim() {
+  auto leader = leader_index();
+  for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+    trim_one(*upstreams_[i], leader == i);
+  }
+}
+
+void upstream_group::trim_one(upstream& on, bool leads) {
   instant now = loop_.now();
-  for (auto& up : upstreams_) {
-    auto links = up->links;
-    std::size_t held = links.size();
-    for (const auto& link : links) {
-      if (!link->idle()) continue;
-      bool leaves = !usable(*up) && (up->removed || up->draining);
-      bool surplus = held > up->share;
-      bool unused = now - link->rested_since() > idle_limit;
-      if (!leaves && !surplus && !unused) continue;
-      link->retire(retire_limit);
-      --held;
-    }
+  auto limit = on.rest.value(on.allowed.borrows);
+  // The next probe of the leader would only open one again.
+  std::size_t kept = leads && probes(on) ? 1 : 0;
+  bool leaves = !usable(on) && (on.removed || on.draining);
+  auto links = on.links;
+  std::size_t held = links.size();
+  for (const auto& link : links) {
+    if (!link->idle()) continue;
+    bool surplus = held > on.allowed.most;
+    bool unused = held > kept && now - link->rested_since() > limit;
+    if (!leaves && !surplus && !unused) continue;
+    link->retire(retire_limit);
+    --held;
   }
 }
 
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -85,14 +85,18 @@
 
 void upstream_group::set_members(std::vector<member_id> members) {
   members_ = std::move(members);
-  for (auto& up : upstreams_) {
-    up->share =
-        std::max(1U, connection_share(self_, members_, up->entry.id.value,
-                                      policy_.max_connections));
-  }
+  for (auto& up : upstreams_) allow(*up);
   trim();
 }
 
+// An instance always has a connection to each database, so that it can at
+// least find out who leads.
+void upstream_group::allow(upstream& what) const {
+  what.allowed = allow_connections(self_, members_, what.entry.id.value,
+                                   policy_.max_connections);
+  what.allowed.most = std::max(1U, what.allowed.most);
+}
+
 void upstream_group::set_entry(const upstream_entry& entry) {
   auto known =
       std::find_if(upstreams_.begin(), upstreams_.end(),
@@ -114,8 +118,7 @@
   }
   if (!entry.draining) up.draining.reset();
   if (entry.draining && !up.draining) up.draining = loop_.now();
-  up.share = std::max(1U, connection_share(self_, members_, entry.id.value,
-                                           policy_.max_connections));
+  allow(up);
   update_leader();
   schedule_serve();
 }
@@ -234,7 +237,7 @@
   out.usable = usable(up) && (!up.draining || out.leader);
   out.same_domain = up.entry.domain == domain_;
   out.warm = idle_link(up, request) != nullptr;
-  bool room = up.links.size() < up.share || exchangeable(up) != nullptr;
+  bool room = up.links.size() < up.allowed.most || exchangeable(up) != nullptr;
   out.openable = room && loop_.now() >= up.full_until;
   out.in_flight = up.in_flight;
   out.response_time = up.response_time;
@@ -296,7 +299,7 @@
                                 const link_request& request) {
   if (is_opening(index, request.team)) return;
   upstream& up = *upstreams_[index];
-  if (up.links.size() < up.share) {
+  if (up.links.size() < up.allowed.most) {
     open_link(index, request.team);
     return;
   }
@@ -420,7 +423,7 @@
 void upstream_group::on_link_idle(upstream_link& link) {
   upstream& up = *upstreams_[link.upstream()];
   if (up.in_flight > 0) --up.in_flight;
-  if (up.links.size() > up.share) return link.retire(retire_limit);
+  if (up.links.size() > up.allowed.most) return link.retire(retire_limit);
   schedule_serve();
 }
 
@@ -440,6 +443,7 @@
   bool opened = link.opened_at() != instant{};
   if (link.refusal() == wire::failure_kind::too_many) {
     ++refused_;
+    up.rest.refused();
     up.full_until = loop_.now() + full_wait;
   } else if (!opened) {
     suspend(up);
@@ -480,6 +484,7 @@
   for (std::size_t i = 0; i < upstreams_.size(); ++i) probe_suspended(i);
   probe_leader();
   drop_gone();
+  for (auto& up : upstreams_) up->rest.tick();
   trim();
   schedule_serve();
 }
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -77,6 +77,11 @@
   /// Asks one database about itself; `done` is called once.
   void ask(const database_id& id, link_step step, std::uint64_t term,
            status_handler done);
+  /// Whether this instance keeps the samples fresh, for others as well. Where
+  /// connections are borrowed only few do.
+  void set_prober(bool probes) { prober_ = probes; }
+  /// Fresh samples are wanted and this instance does not probe for them.
+  bool needs_samples() const;
   /// Called a few times a second.
   void tick();
   std::uint64_t opened() const { return opened_; }
@@ -101,6 +106,7 @@
 
   using place = std::vector<std::unique_ptr<upstream>>::iterator;
 
+  void allow(upstream& what) const;
   place free_place(const database_id& id);
   std::optional<std::size_t> leader_index() const;
   bool usable(const upstream& what) const;
@@ -118,8 +124,11 @@
   void suspend(upstream& what);
   void probe_suspended(std::size_t index);
   bool open_probe(std::size_t index);
+  bool samples_are_wanted(duration older_than) const;
   void probe_leader();
+  bool probes(const upstream& what) const;
   void trim();
+  void trim_one(upstream& on, bool leads);
   void drop_gone();
   void schedule_serve();
 
@@ -137,6 +146,7 @@
   leader_watch watch_;
   std::optional<database_id> last_leader_;
   instant samples_wanted_;
+  bool prober_ = true;
   bool serving_ = false;
   bool serve_due_ = false;
   std::vector<std::unique_ptr<question>> questions_;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -4,6 +4,8 @@
 #include <vector>
 
 #include "proxy/upstream-link.h"
+#include "toucanmux/proxy/connection-share.h"
+#include "toucanmux/proxy/idle-limit.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
 namespace toucanmux {
@@ -12,7 +14,8 @@
 struct upstream {
   upstream_entry entry;
   std::vector<link_ptr> links;
-  unsigned share = 1;  ///< Connections that this instance may hold.
+  connection_allowance allowed;
+  idle_limit rest;  ///< How long an unused connection is kept.
 
   std::optional<instant> removed;   ///< Since when discovery lacks it.
   std::optional<instant> draining;  ///< Since when it leaves.
--- a/test/connection-share-test.cc
+++ b/test/connection-share-test.cc
@@ -1,11 +1,16 @@
 #define BOOST_TEST_MODULE connection_share
 #include "toucanmux/proxy/connection-share.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <random>
 #include <string>
 #include <vector>
 
+#include "toucanmux/proxy/idle-limit.h"
+
 using namespace toucanmux;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -55,3 +60,67 @@
 BOOST_AUTO_TEST_CASE(a_group_without_a_limit_gets_nothing) {
   BOOST_TEST(connection_share(member_id("a"), members(3), "i-1", 0) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(only_small_shares_are_borrowed) {
+  auto few = members(15);
+  auto own = allow_connections(few[0], few, "i-1", 47);
+  BOOST_TEST(!own.borrows);
+  BOOST_TEST(own.most == own.share);
+  auto many = members(139);
+  auto borrowed = allow_connections(many[0], many, "i-1", 97);
+  BOOST_TEST(borrowed.borrows);
+  BOOST_TEST(borrowed.share <= 1U);
+  BOOST_TEST(borrowed.most >= 2U);
+  BOOST_TEST(borrowed.most * 4 < 97U);
+}
+
+BOOST_AUTO_TEST_CASE(refusals_shorten_the_rest_of_borrowed_connections) {
+  idle_limit rest;
+  auto before = rest.value(true);
+  rest.refused();
+  BOOST_TEST((rest.value(true) <= before / 2));
+  for (int i = 0; i < 20; ++i) rest.refused();
+  BOOST_TEST((rest.value(true) > duration{0}));
+  for (int i = 0; i < 200; ++i) rest.tick();
+  BOOST_TEST((rest.value(true) == before));
+  BOOST_TEST((rest.value(false) > rest.value(true)));
+}
+
+// 139 instances serve 90 statements a second, each of another team, at a
+// database that takes 97 connections; a part of one each never served them.
+BOOST_AUTO_TEST_CASE(many_instances_share_few_connections) {
+  struct held {
+    std::size_t instance;
+    double until;
+  };
+  constexpr std::size_t limit = 97;
+  auto all = members(139);
+  auto allowed = allow_connections(all[0], all, "i-1", limit);
+  std::vector<idle_limit> rest(all.size());
+  std::vector<held> open;
+  std::mt19937 random(3);
+  std::exponential_distribution<double> gap(90);
+  int served = 0;
+  int refused = 0;
+  double next_tick = 0;
+  for (double now = 0; now < 60; now += gap(random)) {
+    std::erase_if(open, [&](const held& c) { return c.until <= now; });
+    for (; next_tick < now; next_tick += 0.2) {
+      for (auto& one : rest) one.tick();
+    }
+    auto self = random() % all.size();
+    auto own = static_cast<std::size_t>(
+        std::count_if(open.begin(), open.end(),
+                      [&](const held& c) { return c.instance == self; }));
+    if (open.size() >= limit || own >= allowed.most) {
+      ++refused;
+      rest[self].refused();
+      continue;
+    }
+    ++served;
+    auto idle = std::chrono::duration<double>(rest[self].value(true)).count();
+    open.push_back({self, now + 0.04 + idle});
+  }
+  BOOST_TEST(served > 5000);
+  BOOST_TEST(refused * 100 < served);
+}
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -55,7 +55,6 @@
     settings.store = settings.failover = store.address();
     settings.heartbeat = 400ms;
     settings.revoke_bound = 3500ms;
-    settings.apply_bound = 3s;
     settings.drain_bound = 7s;
     settings.stop_bound = 4s;
     settings.most_sessions = 8;
--- a/test/proxy-settings-test.cc
+++ b/test/proxy-settings-test.cc
@@ -73,7 +73,13 @@
   BOOST_TEST((read.heartbeat == 900ms));
   BOOST_TEST((read.revoke_bound == 4s));
   // Bounds that are left out are as strict as those known.
-  BOOST_TEST((read.apply_bound == 3s));
+  BOOST_TEST((read.drain_bound == 7s));
+  BOOST_TEST(read.capacity == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(the_part_of_a_core_is_the_capacity) {
+  file written(good + "[limits]\ncpu_quota = 0.084\n");
+  BOOST_TEST(read_proxy_settings(written.path()).capacity == 84U);
 }
 
 BOOST_AUTO_TEST_CASE(what_is_missing_is_named_with_the_remedy) {
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -207,7 +207,6 @@
   out.group = group_id(group_);
   out.address = listener_.address();
   out.domain = domain_id("a");
-  out.slots = 3;
   out.claims_lead = leads;
   out.born_ms = 1;
   out.revision = 10;
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -8,7 +8,7 @@
 #include "toucanmux/codec.h"
 #include "toucanmux/error.h"
 #include "toucanmux/process/datagram.h"
-#include "toucanmux/proxy/peer-report.h"
+#include "toucanmux/proxy/peer-message.h"
 
 using namespace toucanmux;
 using namespace std::chrono_literals;
@@ -176,24 +176,40 @@
   report.sightings.items = {{1, 2, true}};
   datagram message;
   message.from = member_id("edge-1");
-  message.payload = encode(report);
+  message.payload = encode(peer_message(report));
   auto whole = pack(message);
-  auto back = decode<peer_report>(message.payload);
-  BOOST_TEST(back.uses.items[1].admitted == 6U);
+  auto back = decode<peer_message>(message.payload);
+  BOOST_TEST(std::get<peer_report>(back).uses.items[1].admitted == 6U);
   std::mt19937 random(6);
   int refused = 0;
   for (int i = 0; i < 4000; ++i) {
     try {
       auto noise = mutate(whole, random);
-      decode<peer_report>(unpack_datagram(noise).payload);
+      decode<peer_message>(unpack_datagram(noise).payload);
     } catch (const protocol_error&) {
       ++refused;
     }
     try {
-      decode<peer_report>(mutate(message.payload, random));
+      decode<peer_message>(mutate(message.payload, random));
     } catch (const protocol_error&) {
       ++refused;
     }
   }
   BOOST_TEST(refused > 4000);
 }
+
+BOOST_AUTO_TEST_CASE(news_of_databases_are_read_as_they_were_sent) {
+  upstream_news news;
+  news.from_revision = 7;
+  news.to_revision = 9;
+  upstream_change change;
+  change.entry.id = database_id("i-1");
+  change.entry.address = {0x0a010203, 8080};
+  change.entry.draining = true;
+  news.changes.items = {change};
+  auto back = decode<peer_message>(encode(peer_message(news)));
+  const auto& read = std::get<upstream_news>(back);
+  BOOST_TEST(read.to_revision == 9U);
+  BOOST_TEST(read.changes.items.at(0).entry.draining);
+  BOOST_TEST(read.changes.items.at(0).entry.address.port == 8080U);
+}
