--- a/include/toucanmux/proxy/group-sighting.h
+++ b/include/toucanmux/proxy/group-sighting.h
@@ -13,11 +13,12 @@
   std::uint32_t leader = 0;
   bool failing = false;           ///< It does not answer this instance.
   std::uint16_t answered_ms = 0;  ///< Since its last answer; capped.
+  std::uint16_t speaks_for = 1;   ///< Instances that see it alike.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(group), CEREAL_NVP(leader), CEREAL_NVP(failing),
-            CEREAL_NVP(answered_ms));
+            CEREAL_NVP(answered_ms), CEREAL_NVP(speaks_for));
   }
 };
 
--- /dev/null
+++ b/include/toucanmux/proxy/others-use.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <span>
+#include <vector>
+
+#include "toucanmux/proxy/team-use.h"
+
+namespace toucanmux {
+
+/// Works out what the other instances have used from what all have used: a hub
+/// sends everybody the same sums, in which each finds its own use again.
+class others_use {
+ public:
+  /// This instance has told the hub of its own use.
+  void sent(std::uint64_t stamp, std::span<const team_use> own);
+  /// @param hub changes with the hub and with each of its processes.
+  /// @param stamp of the hub's message.
+  /// @param echo the stamp of the last report that the sums contain.
+  /// @return what the others have used since the hub's first message.
+  std::vector<team_use> take(std::uint64_t hub, std::uint64_t stamp,
+                             std::uint64_t echo,
+                             std::span<const team_use> fleet);
+
+ private:
+  struct own_report {
+    std::uint64_t stamp = 0;
+    std::vector<team_use> uses;
+  };
+  struct counter {
+    std::uint32_t fleet = 0;
+    std::uint32_t others = 0;
+    std::int32_t owed = 0;  ///< Own use that the sums do not show yet.
+  };
+  struct team_count {
+    std::uint64_t echo = 0;
+    counter admitted;
+    counter wanted;
+  };
+
+  team_use own_at(std::uint32_t team, std::uint64_t echo) const;
+  static void advance(counter& what, std::uint32_t fleet, std::uint32_t own);
+
+  std::deque<own_report> sent_;
+  std::map<std::uint32_t, team_count> teams_;
+  std::uint64_t hub_ = 0;
+  std::uint64_t first_stamp_ = 0;
+  std::uint64_t first_echo_ = 0;
+};
+
+}  // namespace toucanmux
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -11,6 +11,15 @@
 
 /// What instances tell each other several times a second.
 struct peer_report {
+  /// Whom the report speaks for.
+  enum class scope : std::uint8_t {
+    self,
+    domain,  ///< A hub, to the hubs of other failure domains.
+    fleet    ///< A hub, to its failure domain.
+  };
+
+  scope whose = scope::self;
+  bool head = true;  ///< The first part: only it has all that is not `uses`.
   std::uint32_t domain = 0;  ///< The low bits of the name's stable hash.
   std::uint64_t stamp = 0;   ///< The sender's steady time in microseconds.
   bool leaving = false;
@@ -18,19 +27,23 @@
   bool wants_reply = false;
   bool settled = false;        ///< The levels in `uses` may be taken over.
   std::uint32_t capacity = 0;  ///< Thousandths of a core.
+  std::uint32_t heard = 0;     ///< Peers that a hub has heard a moment ago.
   std::uint64_t upstream_revision = 0;  ///< Of what it knows of discovery.
   std::uint64_t config_revision = 0;
   std::uint32_t config_age_ms = 0;  ///< Since the revision was proven.
   bounded_list<team_use, 1024> uses;
   bounded_list<group_sighting, 1024> sightings;
+  /// Instances that a hub counts as gone: low bits of the names' hashes.
+  bounded_list<std::uint32_t, 4096> gone;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(CEREAL_NVP(domain), CEREAL_NVP(stamp), CEREAL_NVP(leaving),
-            CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
-            CEREAL_NVP(settled), CEREAL_NVP(capacity),
-            CEREAL_NVP(upstream_revision), CEREAL_NVP(config_revision),
-            CEREAL_NVP(config_age_ms), CEREAL_NVP(uses), CEREAL_NVP(sightings));
+    archive(CEREAL_NVP(whose), CEREAL_NVP(head), CEREAL_NVP(domain),
+            CEREAL_NVP(stamp), CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
+            CEREAL_NVP(wants_reply), CEREAL_NVP(settled), CEREAL_NVP(capacity),
+            CEREAL_NVP(heard), CEREAL_NVP(upstream_revision),
+            CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
+            CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(gone));
   }
 };
 
--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -63,9 +63,14 @@
   /// anything.
   void expect_reports_every(duration interval);
   /// A peer that exists, heard or not.
-  void expect_peer(instant now, const member_id& peer);
+  /// @param weight how many instances its reports stand for.
+  /// @param near it belongs to this instance's failure domain.
+  void expect_peer(instant now, const member_id& peer, double weight = 1,
+                   bool near = true);
   /// A peer that left for good: nothing stays reserved for it.
   void forget_peer(const member_id& peer);
+  /// The reports will come from other peers from now on.
+  void forget_peers() { peers_.clear(); }
   /// What a peer has admitted since its start.
   /// @param settled the peer has heard others, so that its levels count.
   void take_report(instant now, const member_id& peer,
@@ -75,9 +80,16 @@
   bool settled(instant now) const;
 
   verdict admit(instant now, const team_id& team);
-  /// What this instance has admitted, for its peers.
+  /// Whose use a report names.
+  enum class scope : std::uint8_t {
+    own,
+    domain,  ///< Of this instance and the peers that are near.
+    fleet    ///< Of all.
+  };
+
+  /// What was admitted, for the peers.
   /// @param all false names only the teams near their limit.
-  std::vector<team_use> report(bool all) const;
+  std::vector<team_use> report(bool all, scope whose = scope::own) const;
   /// True if this instance has admitted much that its peers do not know of.
   bool wants_report() const;
   /// All peers have been sent a report just now.
@@ -93,6 +105,7 @@
     double admit_rate = 0;  ///< Operations a second, last interval.
     double demand = 0;      ///< Operations a second, smoothed.
     double reserved = 0;    ///< Share kept while the peer is silent.
+    double kept = 0;        ///< Share that the peer keeps for silent ones.
     instant reported;       ///< When the counters came.
     instant measured;       ///< Since when the two below are counted.
     double fresh_admitted = 0;
@@ -106,7 +119,9 @@
   struct peer_account {
     std::uint64_t incarnation = 0;
     instant heard;
-    instant began;  ///< Its first report of this incarnation.
+    instant began;      ///< Its first report of this incarnation.
+    double weight = 1;  ///< Instances that it stands for.
+    bool near = true;
     bool ever_heard = false;
     bool silent = true;
     std::map<std::uint32_t, peer_use> uses;
@@ -123,14 +138,24 @@
     std::uint32_t wanted = 0;
     std::uint32_t wanted_before = 0;
     double demand = 0;
+    // What peers have reported since this instance started.
+    std::uint32_t near_admitted = 0;
+    std::uint32_t near_wanted = 0;
+    std::uint32_t far_admitted = 0;
+    std::uint32_t far_wanted = 0;
     // Derived from the peers, refreshed now and then.
     double part = 1;           ///< Of the fleet's demand, this instance's.
     double available = 1;      ///< 1 less the shares of silent peers.
     double expected_rate = 0;  ///< Sum of the fresh peers' rates.
+    double near_kept = 0;      ///< Share kept for silent near peers.
   };
 
   account* find(std::uint32_t team);
   duration refresh_interval() const;
+  double members() const;
+  static void count(account& team, bool near, std::int32_t admitted,
+                    std::int32_t wanted);
+  static team_use describe(const account& team, scope whose);
   double even_share(std::uint32_t team);
   void adopt(instant now, const team_use& use);
   void spend(instant now, std::uint32_t team, double count);
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -46,6 +46,7 @@
   if (what.change.running()) return step(group.id(), takeover_tick{});
   instant now = state_.loop.now();
   bool planned = false;
+  note_leader(group, what);
   if (!change_is_due(group, what, planned) || state_.stopping) {
     what.wanted.reset();
     return;
@@ -62,16 +63,21 @@
   start(group, what, planned);
 }
 
-bool leader_service::change_is_due(upstream_group& group, watched& what,
-                                   bool& planned) {
-  instant now = state_.loop.now();
+void leader_service::note_leader(const upstream_group& group, watched& what) {
   auto leader = group.leader();
   if (leader) {
     what.last = leader;
     what.leaderless.reset();
   } else if (!what.leaderless) {
-    what.leaderless = now;
+    what.leaderless = state_.loop.now();
   }
+}
+
+bool leader_service::change_is_due(upstream_group& group, watched& what,
+                                   bool& planned) {
+  if (!peers_.replaces_leaders()) return false;
+  instant now = state_.loop.now();
+  auto leader = group.leader();
   if (!leader) {
     return what.last && now - *what.leaderless > leaderless_limit;
   }
@@ -89,9 +95,13 @@
 // Only those that see the need can act on it.
 duration leader_service::turn_of_self(upstream_group& group,
                                       bool planned) const {
-  auto others = planned || !group.has_leader()
-                    ? peers_.heard_lately()
-                    : group.watch().failing_with(state_.loop.now());
+  auto others = peers_.replacers();
+  if (!planned && group.has_leader()) {
+    auto see = group.watch().failing_with(state_.loop.now());
+    std::erase_if(others, [&](const member_id& m) {
+      return std::find(see.begin(), see.end(), m) == see.end();
+    });
+  }
   auto rank_of = [&](const member_id& member) {
     return stable_hash(member.value + '/' + group.id().value);
   };
--- a/src/proxy/leader-service.h
+++ b/src/proxy/leader-service.h
@@ -32,6 +32,7 @@
   };
 
   void tick_group(upstream_group& group, watched& what);
+  void note_leader(const upstream_group& group, watched& what);
   bool change_is_due(upstream_group& group, watched& what, bool& planned);
   duration turn_of_self(upstream_group& group, bool planned) const;
   void start(upstream_group& group, watched& what, bool planned);
--- a/src/proxy/leader-watch.cc
+++ b/src/proxy/leader-watch.cc
@@ -75,8 +75,8 @@
   }
   auto answered =
       static_cast<std::uint16_t>(std::clamp<std::int64_t>(age, 0, cap));
-  return {short_hash(group.value), short_hash(leader_.value), failing,
-          answered};
+  return {short_hash(group.value), short_hash(leader_.value), failing, answered,
+          1};
 }
 
 std::vector<member_id> leader_watch::failing_with(instant now) const {
@@ -111,7 +111,11 @@
 
 bool leader_watch::most_are_cut_off(instant now, std::size_t members) const {
   if (now - *failing_since_ < settings_.cut_off_after) return false;
-  return (failing_with(now).size() + 1) * 3 >= members * 2;
+  std::size_t failing = 1;
+  for (const auto& id : failing_with(now)) {
+    failing += peers_.at(id).what.speaks_for;
+  }
+  return failing * 3 >= members * 2;
 }
 
 }  // namespace toucanmux
--- /dev/null
+++ b/src/proxy/others-use.cc
@@ -0,0 +1,75 @@
+#include "toucanmux/proxy/others-use.h"
+
+#include <algorithm>
+
+namespace toucanmux {
+
+namespace {
+
+// Several times what is on its way before a hub counts as silent.
+constexpr std::size_t kept_reports = 32;
+// The parts of one message have stamps that follow each other.
+constexpr std::uint64_t most_parts = 64;
+
+}  // namespace
+
+void others_use::sent(std::uint64_t stamp, std::span<const team_use> own) {
+  sent_.push_back({stamp, {own.begin(), own.end()}});
+  if (sent_.size() > kept_reports) sent_.pop_front();
+}
+
+team_use others_use::own_at(std::uint32_t team, std::uint64_t echo) const {
+  for (auto report = sent_.rbegin(); report != sent_.rend(); ++report) {
+    if (report->stamp > echo) continue;
+    for (const auto& use : report->uses) {
+      if (use.team == team) return use;
+    }
+  }
+  return {};
+}
+
+// The sums may lack what was reported in a datagram that was lost; it shows in
+// a later one.
+void others_use::advance(counter& what, std::uint32_t fleet,
+                         std::uint32_t own) {
+  auto all = static_cast<std::int32_t>(fleet - what.fleet);
+  auto change = all - static_cast<std::int32_t>(own) + what.owed;
+  what.fleet = fleet;
+  what.owed = std::min(change, 0);
+  what.others += static_cast<std::uint32_t>(std::max(change, 0));
+}
+
+std::vector<team_use> others_use::take(std::uint64_t hub, std::uint64_t stamp,
+                                       std::uint64_t echo,
+                                       std::span<const team_use> fleet) {
+  if (hub != hub_) {
+    hub_ = hub;
+    first_stamp_ = stamp;
+    first_echo_ = echo;
+    teams_.clear();
+  }
+  bool first = stamp - first_stamp_ < most_parts;
+  std::vector<team_use> out;
+  out.reserve(fleet.size());
+  for (const auto& use : fleet) {
+    auto [at, fresh] = teams_.try_emplace(use.team);
+    team_count& known = at->second;
+    if (fresh) known.echo = first_echo_;
+    if (fresh && first) {
+      known.admitted.fleet = use.admitted;
+      known.wanted.fleet = use.wanted;
+    }
+    auto before = own_at(use.team, known.echo);
+    auto now = own_at(use.team, echo);
+    advance(known.admitted, use.admitted, now.admitted - before.admitted);
+    advance(known.wanted, use.wanted, now.wanted - before.wanted);
+    known.echo = echo;
+    team_use others = use;
+    others.admitted = known.admitted.others;
+    others.wanted = known.wanted.others;
+    out.push_back(others);
+  }
+  return out;
+}
+
+}  // namespace toucanmux
--- /dev/null
+++ b/src/proxy/peer-directory.cc
@@ -0,0 +1,244 @@
+#include "proxy/peer-directory.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+#include "toucanmux/hash.h"
+
+namespace toucanmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// With more peers than this, reports to all of them cost each instance over a
+// hundredth of a core.
+constexpr std::size_t mesh_up_to = 32;
+// A peer that has said nothing for so long is no member: its connections and
+// its readiness are gone.
+constexpr duration member_lasts = seconds(10);
+// A peer this fresh can be counted on for following the store: three of its
+// reports are missing otherwise.
+constexpr duration reader_fresh = milliseconds(1500);
+constexpr duration record_kept = seconds(60);
+constexpr duration leaving_lasts = seconds(1);
+
+}  // namespace
+
+bool peer_directory::add(instant now, const store_api::member_record& record) {
+  if (record.id == self_) return false;
+  auto [at, fresh] = peers_.try_emplace(record.id);
+  at->second.record = record;
+  if (fresh) at->second.known = now;
+  return fresh;
+}
+
+void peer_directory::remove(const member_id& id) { peers_.erase(id); }
+
+// Failure domains are compared, and named only to tell them apart.
+domain_id peer_directory::domain_of(std::uint32_t hash) const {
+  if (short_hash(domain_.value) == hash) return domain_;
+  for (const auto& [id, entry] : peers_) {
+    const auto& known = entry.record.domain;
+    if (short_hash(known.value) == hash) return known;
+  }
+  return domain_id("#" + std::to_string(hash));
+}
+
+peer_directory::arrival peer_directory::take(instant now, const member_id& id,
+                                             std::uint64_t incarnation,
+                                             const inet_address& from,
+                                             std::uint64_t echo,
+                                             const peer_report& report) {
+  if (id == self_) return {};
+  auto [at, fresh] = peers_.try_emplace(id);
+  peer& entry = at->second;
+  if (fresh) {
+    entry.record = {id, domain_of(report.domain), from};
+    entry.known = now;
+  }
+  bool restarted = entry.incarnation != incarnation;
+  if (!restarted && report.stamp <= entry.stamp) return {};
+  entry.incarnation = incarnation;
+  entry.record.address = from;
+  entry.stamp = report.stamp;
+  entry.echoed = echo;
+  entry.heard = now;
+  entry.ever_heard = true;
+  entry.gone = false;
+  if (!report.head) return {&entry, false};
+  entry.leaving = report.leaving;
+  entry.lacks_store = report.lacks_store;
+  entry.is_hub = report.whose != peer_report::scope::self;
+  entry.capacity = report.capacity;
+  entry.peers_heard = report.heard;
+  entry.upstream_revision = report.upstream_revision;
+  entry.config_revision = report.config_revision;
+  take_gone(entry, report);
+  return {&entry, fresh || restarted};
+}
+
+// A hub knows who lives in its failure domain, and the own hub who lives in
+// all of them.
+void peer_directory::take_gone(const peer& from, const peer_report& report) {
+  if (!from.is_hub || role_ == role::mesh) return;
+  bool whole = report.whose == peer_report::scope::fleet;
+  if (whole && role_ != role::member) return;
+  std::set<std::uint32_t> gone(report.gone.items.begin(),
+                               report.gone.items.end());
+  for (auto& [id, entry] : peers_) {
+    if (&entry == &from) continue;
+    if (!whole && entry.record.domain != from.record.domain) continue;
+    entry.gone = gone.contains(short_hash(id.value));
+  }
+}
+
+// An instance that reaches the store goes first, then the largest.
+bool peer_directory::goes_before(const peer& one, const peer& other) const {
+  return std::make_tuple(one.lacks_store, ~one.capacity,
+                         stable_hash(one.record.id.value)) <
+         std::make_tuple(other.lacks_store, ~other.capacity,
+                         stable_hash(other.record.id.value));
+}
+
+bool peer_directory::goes_before_self(const peer& what) const {
+  peer own;
+  own.record.id = self_;
+  own.lacks_store = lacks_store_;
+  own.capacity = capacity_;
+  return goes_before(what, own);
+}
+
+bool peer_directory::speaks(instant now, const peer& what) const {
+  return what.ever_heard && !what.leaving && now - what.heard < reader_fresh;
+}
+
+const peer* peer_directory::reader(instant now) const {
+  const peer* best = nullptr;
+  for (const auto& [id, entry] : peers_) {
+    if (!is_near(entry) || !speaks(now, entry)) continue;
+    // Members only report to their hub, and never to be one.
+    if (role_ != role::mesh && !entry.is_hub) continue;
+    if (!goes_before_self(entry)) continue;
+    if (!best || goes_before(entry, *best)) best = &entry;
+  }
+  return best;
+}
+
+const peer* peer_directory::hub_of(instant now, const domain_id& domain) const {
+  const peer* best = nullptr;
+  for (const auto& [id, entry] : peers_) {
+    bool may = entry.record.domain == domain && entry.is_hub;
+    if (!may || !speaks(now, entry)) continue;
+    if (!best || goes_before(entry, *best)) best = &entry;
+  }
+  return best;
+}
+
+std::vector<domain_id> peer_directory::other_domains() const {
+  std::set<domain_id> found;
+  for (const auto& [id, entry] : peers_) {
+    if (!is_near(entry)) found.insert(entry.record.domain);
+  }
+  return {found.begin(), found.end()};
+}
+
+std::size_t peer_directory::size_of(instant now,
+                                    const domain_id& domain) const {
+  auto count = std::count_if(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return p.second.record.domain == domain && lives(now, p.second);
+  });
+  return static_cast<std::size_t>(count);
+}
+
+bool peer_directory::update_role(instant now) {
+  role next = role::mesh;
+  if (peers_.size() > mesh_up_to) {
+    next = reader(now) ? role::member : role::hub;
+  }
+  if (next == role_) return false;
+  role_ = next;
+  role_since_ = now;
+  return true;
+}
+
+bool peer_directory::lives_by_reports(instant now, const peer& what) const {
+  if (what.leaving && now - what.heard > leaving_lasts) return false;
+  return now - std::max(what.heard, what.known) < member_lasts;
+}
+
+bool peer_directory::lives(instant now, const peer& what) const {
+  if (role_ == role::mesh) return lives_by_reports(now, what);
+  if (role_ == role::member) return !what.gone;
+  if (lives_by_reports(now, what)) return true;
+  if (what.gone || what.leaving) return false;
+  // A hub that is new has not heard those that reported to the last one.
+  if (now - role_since_ < member_lasts) return true;
+  return !is_near(what) && hub_lives(now, what.record.domain);
+}
+
+bool peer_directory::hub_lives(instant now, const domain_id& domain) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return p.second.record.domain == domain && p.second.is_hub &&
+           now - p.second.heard < member_lasts;
+  });
+}
+
+std::vector<member_id> peer_directory::members(instant now) const {
+  std::vector<member_id> out{self_};
+  for (const auto& [id, entry] : peers_) {
+    if (lives(now, entry)) out.push_back(id);
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
+std::size_t peer_directory::count_heard(instant now, duration age,
+                                        bool near_only) const {
+  auto count = std::count_if(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return p.second.ever_heard && now - p.second.heard < age &&
+           (!near_only || is_near(p.second));
+  });
+  return static_cast<std::size_t>(count);
+}
+
+// What a hub has heard has grown older on its way here.
+std::size_t peer_directory::heard_within(instant now, duration age) const {
+  if (role_ == role::mesh) return count_heard(now, age, false);
+  if (role_ == role::member) {
+    const peer* hub = reader(now);
+    return hub && now - hub->heard < age / 2 ? hub->peers_heard : 0;
+  }
+  std::size_t out = heard_near(now, age);
+  for (const auto& domain : other_domains()) {
+    const peer* hub = hub_of(now, domain);
+    if (hub && now - hub->heard < age / 2) out += 1 + hub->peers_heard;
+  }
+  return out;
+}
+
+std::vector<std::uint32_t> peer_directory::gone(instant now,
+                                                bool near_only) const {
+  std::vector<std::uint32_t> out;
+  for (const auto& [id, entry] : peers_) {
+    if (near_only && !is_near(entry)) continue;
+    if (!lives(now, entry)) out.push_back(short_hash(id.value));
+  }
+  return out;
+}
+
+std::vector<store_api::member_record> peer_directory::long_silent(
+    instant now) const {
+  std::vector<store_api::member_record> out;
+  for (const auto& [id, entry] : peers_) {
+    bool unheard = now - std::max(entry.heard, entry.known) > record_kept;
+    // In a role that hears few, others tell who is gone.
+    bool gone = role_ == role::mesh || !lives(now, entry);
+    if (unheard && gone) out.push_back(entry.record);
+  }
+  return out;
+}
+
+}  // namespace toucanmux
--- /dev/null
+++ b/src/proxy/peer-directory.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "proxy/store-api.h"
+#include "toucanmux/proxy/peer-report.h"
+
+namespace toucanmux {
+
+/// What is known of another instance.
+struct peer {
+  store_api::member_record record;
+  std::uint64_t incarnation = 0;
+  instant known;  ///< Since when its record is known.
+  instant heard;  ///< The last report.
+  bool ever_heard = false;
+  bool leaving = false;
+  bool lacks_store = false;
+  bool is_hub = false;  ///< It reports for its failure domain.
+  bool gone = false;    ///< A hub counts it as gone.
+  std::uint32_t capacity = 0;
+  std::uint32_t peers_heard = 0;  ///< By a hub.
+  std::uint64_t upstream_revision = 0;
+  std::uint64_t stamp = 0;   ///< Of its last report.
+  std::uint64_t echoed = 0;  ///< Our last stamp that it has heard.
+  std::uint64_t config_revision = 0;
+};
+
+/// Which instances there are, who lives, and who speaks for whom.
+///
+/// Few instances tell each other everything. Many tell it to one of their
+/// failure domain, the hub, which exchanges sums with the other hubs: a report
+/// to each of hundreds several times a second would cost more than the service.
+class peer_directory {
+ public:
+  /// What this instance does in the exchange of reports.
+  enum class role : std::uint8_t {
+    mesh,   ///< All talk to all.
+    hub,    ///< It speaks for its failure domain.
+    member  ///< It talks to its hub alone.
+  };
+
+  /// What a report has changed.
+  struct arrival {
+    peer* from = nullptr;  ///< Null if the report came late.
+    bool fresh = false;    ///< The first one of this process.
+  };
+
+  peer_directory(const member_id& self, const domain_id& domain,
+                 std::uint32_t capacity)
+      : self_(self), domain_(domain), capacity_(capacity) {}
+
+  /// An instance that the store has a record of. False if it is known.
+  bool add(instant now, const store_api::member_record& record);
+  void remove(const member_id& id);
+  arrival take(instant now, const member_id& id, std::uint64_t incarnation,
+               const inet_address& from, std::uint64_t echo,
+               const peer_report& report);
+  /// Whether this instance reaches the store itself or by its peers.
+  void set_lacks_store(bool lacks) { lacks_store_ = lacks; }
+  /// Decides the role anew. True if it has changed.
+  bool update_role(instant now);
+
+  role own_role() const { return role_; }
+  /// The peer that goes before this instance in its failure domain; null if
+  /// there is none.
+  const peer* reader(instant now) const;
+  /// The peer that speaks for another failure domain, if one does.
+  const peer* hub_of(instant now, const domain_id& domain) const;
+  std::vector<domain_id> other_domains() const;
+  std::size_t size_of(instant now, const domain_id& domain) const;
+
+  bool is_near(const peer& what) const { return what.record.domain == domain_; }
+  bool lives(instant now, const peer& what) const;
+  /// All that live as far as is known, this instance included; sorted.
+  std::vector<member_id> members(instant now) const;
+  /// How many peers were heard by this instance or by its hub.
+  std::size_t heard_within(instant now, duration age) const;
+  /// How many of its failure domain a hub has heard, for another hub to count.
+  std::size_t heard_near(instant now, duration age) const {
+    return count_heard(now, age / 2, true);
+  }
+  /// Those that this instance's domain counts as gone.
+  std::vector<std::uint32_t> gone(instant now, bool near_only) const;
+  std::vector<store_api::member_record> long_silent(instant now) const;
+
+  std::map<member_id, peer>& all() { return peers_; }
+  const std::map<member_id, peer>& all() const { return peers_; }
+
+ private:
+  bool goes_before(const peer& one, const peer& other) const;
+  bool goes_before_self(const peer& what) const;
+  bool speaks(instant now, const peer& what) const;
+  bool hub_lives(instant now, const domain_id& domain) const;
+  std::size_t count_heard(instant now, duration age, bool near_only) const;
+  bool lives_by_reports(instant now, const peer& what) const;
+  domain_id domain_of(std::uint32_t hash) const;
+  void take_gone(const peer& from, const peer_report& report);
+
+  member_id self_;
+  domain_id domain_;
+  std::uint32_t capacity_;
+  bool lacks_store_ = false;
+  role role_ = role::mesh;
+  instant role_since_;
+  std::map<member_id, peer> peers_;
+};
+
+}  // namespace toucanmux
--- /dev/null
+++ b/src/proxy/peer-service-receive.cc
@@ -0,0 +1,164 @@
+#include <algorithm>
+
+#include "proxy/peer-service.h"
+#include "toucanmux/codec.h"
+#include "toucanmux/hash.h"
+#include "toucanmux/process/datagram.h"
+#include "toucanmux/proxy/peer-frame.h"
+
+namespace toucanmux {
+
+namespace {
+
+using std::chrono::milliseconds;
+using role = peer_directory::role;
+using scope = peer_report::scope;
+
+}  // namespace
+
+void peer_service::take(std::span<const char> bytes, const inet_address& from) {
+  try {
+    auto envelope = unpack_datagram(bytes);
+    auto frame = decode<peer_frame>(envelope.payload);
+    auto message = decode<peer_message>(frame.body);
+    if (envelope.from == state_.settings.self) return;
+    std::visit(overloaded{[&](const peer_report& report) {
+                            take_report(envelope, from, frame.echo, report);
+                          },
+                          [&](const position_question& question) {
+                            answer_positions(from, question);
+                          },
+                          [&](const position_answer& a) { take_positions(a); },
+                          [&](const upstream_news& news) {
+                            told_.upstreams_changed(news);
+                          }},
+               message);
+  } catch (const protocol_error& e) {
+    state_.log.write(journal_event::dependency, "bad_datagram",
+                     {{"from", to_text(from)}, {"reason", e.what()}});
+  }
+}
+
+void peer_service::take_report(const datagram& envelope,
+                               const inet_address& from, std::uint64_t echo,
+                               const peer_report& report) {
+  auto arrived = peers_.take(state_.loop.now(), envelope.from,
+                             envelope.incarnation, from, echo, report);
+  if (!arrived.from) return;
+  const peer& sender = *arrived.from;
+  take_uses(sender, report);
+  if (!report.head) return;
+  take_sightings(sender, report);
+  take_proof(sender, report);
+  if (arrived.fresh) note_members();
+  // A new process waits for what its peers know, and one without the store
+  // for a sign that it is not alone.
+  if (arrived.fresh || report.wants_reply) reply(sender);
+}
+
+void peer_service::reply(const peer& to) {
+  bool near = peers_.is_near(to);
+  switch (peers_.own_role()) {
+    case role::mesh:
+      return send_parts(make_parts({scope::self, true, true}), to);
+    case role::hub:
+      return send_parts(
+          make_parts({near ? scope::fleet : scope::domain, true, true}), to);
+    case role::member:
+      return;
+  }
+}
+
+// A hub counts the instances of its domain one by one and the other domains
+// as one each; a member counts all others as one.
+void peer_service::take_uses(const peer& from, const peer_report& report) {
+  instant now = state_.loop.now();
+  auto& limits = state_.limits;
+  auto incarnation = incarnation_of(from);
+  std::span<const team_use> uses(report.uses.items);
+  bool near = peers_.is_near(from);
+  bool one = report.whose == scope::self;
+  switch (peers_.own_role()) {
+    case role::mesh:
+      if (!one) return;
+      return limits.take_report(now, from.record.id, from.incarnation,
+                                report.settled, uses);
+    case role::hub: {
+      if (near && one) {
+        return limits.take_report(now, from.record.id, from.incarnation,
+                                  report.settled, uses);
+      }
+      const auto& domain = from.record.domain;
+      bool sums = !near && report.whose == scope::domain &&
+                  peers_.hub_of(now, domain) == &from;
+      if (!sums) return;
+      return limits.take_report(now, all_of(domain), incarnation,
+                                report.settled, uses);
+    }
+    case role::member:
+      if (report.whose != scope::fleet || peers_.reader(now) != &from) return;
+      return limits.take_report(
+          now, all_of({}), incarnation, report.settled,
+          others_.take(incarnation, report.stamp, from.echoed, uses));
+  }
+}
+
+void peer_service::take_sightings(const peer& from, const peer_report& report) {
+  instant now = state_.loop.now();
+  for (const auto& sighting : report.sightings.items) {
+    for (auto& [name, group] : state_.groups) {
+      if (short_hash(name.value) != sighting.group) continue;
+      group->watch().take_sighting(now, from.record.id, sighting);
+    }
+  }
+}
+
+// A peer that has heard our stamp sent its report after it, so what it proves
+// is no older than the stamp less the age that it names. A report that was
+// long on its way, or that waited while this process was suspended, proves no
+// more than that.
+void peer_service::take_proof(const peer& from, const peer_report& report) {
+  bool same = report.config_revision != 0 &&
+              report.config_revision == state_.config->revision();
+  // Stamps of an earlier process prove nothing to this one.
+  if (!same || from.echoed < incarnation_) return;
+  instant sent(duration(static_cast<std::int64_t>(from.echoed)));
+  if (sent > state_.loop.now()) return;
+  instant proven = sent - milliseconds(report.config_age_ms);
+  state_.proof.prove(proven);
+  state_.partition.store_answered(proven);
+}
+
+void peer_service::answer_positions(const inet_address& to,
+                                    const position_question& question) {
+  instant now = state_.loop.now();
+  position_answer out;
+  out.echo = question.stamp;
+  for (const auto& [id, group] : state_.groups) {
+    group->want_samples();
+    auto newest = group->samples().newest();
+    if (!newest) continue;
+    auto age =
+        std::chrono::ceil<milliseconds>(now - group->samples().newest_time());
+    if (age > position_samples::keep) continue;
+    out.positions.items.push_back({short_hash(id.value), *newest,
+                                   static_cast<std::uint32_t>(age.count())});
+  }
+  send(encode(peer_message(out)), 0, to);
+}
+
+// The peer answered after the question was sent, so the position is no older
+// than the question less the age that the answer names.
+void peer_service::take_positions(const position_answer& answer) {
+  instant asked(duration(static_cast<std::int64_t>(answer.echo)));
+  // Stamps of an earlier process prove nothing to this one.
+  if (answer.echo < incarnation_ || asked > state_.loop.now()) return;
+  for (const auto& item : answer.positions.items) {
+    for (auto& [name, group] : state_.groups) {
+      if (short_hash(name.value) != item.group) continue;
+      group->samples().note(asked - milliseconds(item.age_ms), item.position);
+    }
+  }
+}
+
+}  // namespace toucanmux
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -1,6 +1,7 @@
 #include "proxy/peer-service.h"
 
 #include <algorithm>
+#include <array>
 
 #include "toucanmux/codec.h"
 #include "toucanmux/hash.h"
@@ -12,7 +13,8 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
+using role = peer_directory::role;
+using scope = peer_report::scope;
 
 constexpr duration near_interval = milliseconds(400);
 // Bytes between failure domains are dear.
@@ -23,21 +25,21 @@
 // Datagrams a second that reports may cost an instance; more peers hear from
 // it less often.
 constexpr double most_datagrams = 70;
-// A peer that has said nothing for so long is no member: its connections and
-// its readiness are gone.
-constexpr duration member_lasts = seconds(10);
-// A peer this fresh can be counted on for reading the configuration.
-constexpr duration reader_fresh = milliseconds(1500);
 // Longer than the interval at which proofs of the store come.
 constexpr duration store_missed = milliseconds(1500);
-constexpr duration record_kept = seconds(60);
+// Peers that were heard within two of their intervals.
+constexpr duration heard_lately = far_interval * 2;
 // A silent peer hears from this instance less often.
 constexpr unsigned silent_every = 5;
+// Instances of a failure domain that are tried until its hub is known.
+constexpr std::size_t hub_tries = 2;
 // What a report's lists may take of a datagram, and what their items take.
-constexpr std::size_t report_bytes = 1100;
-constexpr std::size_t use_bytes = 16;
-constexpr std::size_t sighting_bytes = 11;
+constexpr std::size_t report_bytes = 1080;
+constexpr std::size_t use_bytes = 17;
+constexpr std::size_t sighting_bytes = 13;
+constexpr std::size_t gone_bytes = 4;
 constexpr std::size_t least_uses = 8;
+constexpr std::size_t most_gone = 120;
 
 std::uint64_t stamp_of(instant at) {
   return static_cast<std::uint64_t>(at.time_since_epoch().count());
@@ -45,134 +47,162 @@
 
 }  // namespace
 
+member_id peer_service::all_of(const domain_id& domain) {
+  return member_id("*" + domain.value);
+}
+
+// Sums begin anew with another hub and with another process of it.
+std::uint64_t peer_service::incarnation_of(const peer& hub) {
+  return hub.incarnation ^ stable_hash(hub.record.id.value);
+}
+
 peer_service::peer_service(proxy_state& state, handlers told)
     : state_(state),
       told_(std::move(told)),
       port_(state.loop, state.settings.peers,
             [this](auto bytes, const auto& from) { take(bytes, from); }),
       incarnation_(stamp_of(boot_time())),
+      peers_(state.settings.self, state.settings.domain,
+             state.settings.capacity),
       last_members_{state.settings.self} {}
 
 void peer_service::add(const store_api::member_record& record) {
-  if (record.id == state_.settings.self) return;
-  auto [at, fresh] = peers_.try_emplace(record.id);
-  at->second.record = record;
-  if (!fresh) return;
-  at->second.known = state_.loop.now();
-  state_.limits.expect_peer(state_.loop.now(), record.id);
+  if (!peers_.add(state_.loop.now(), record)) return;
   note_members();
+  expect_peers();
   hurry();
 }
 
 void peer_service::remove(const member_id& id) {
-  peers_.erase(id);
+  peers_.remove(id);
   state_.limits.forget_peer(id);
   note_members();
 }
 
-bool peer_service::lives(const peer& what) const {
-  instant now = state_.loop.now();
-  if (what.leaving && now - what.heard > seconds(1)) return false;
-  return now - std::max(what.heard, what.known) < member_lasts;
+std::size_t peer_service::heard_within(duration age) const {
+  return peers_.heard_within(state_.loop.now(), age);
 }
 
-std::vector<member_id> peer_service::find_members() const {
-  std::vector<member_id> out{state_.settings.self};
-  for (const auto& [id, entry] : peers_) {
-    if (lives(entry)) out.push_back(id);
-  }
-  std::sort(out.begin(), out.end());
-  return out;
+std::vector<store_api::member_record> peer_service::long_silent() const {
+  return peers_.long_silent(state_.loop.now());
 }
 
-std::vector<member_id> peer_service::heard_lately() const {
+bool peer_service::replaces_leaders() const {
+  return peers_.own_role() != role::member;
+}
+
+std::vector<member_id> peer_service::replacers() const {
   std::vector<member_id> out;
-  for (const auto& [id, entry] : peers_) {
+  bool hubs_only = peers_.own_role() != role::mesh;
+  for (const auto& [id, entry] : peers_.all()) {
     bool counts = entry.ever_heard && !entry.leaving &&
-                  state_.loop.now() - entry.heard < far_interval * 2;
-    if (counts) out.push_back(id);
+                  state_.loop.now() - entry.heard < heard_lately;
+    if (counts && (!hubs_only || entry.is_hub)) out.push_back(id);
   }
   return out;
 }
 
-std::size_t peer_service::heard_within(duration age) const {
-  auto count = std::count_if(peers_.begin(), peers_.end(), [&](const auto& p) {
-    return p.second.ever_heard && state_.loop.now() - p.second.heard < age;
+bool peer_service::reads_for_domain() const {
+  return peers_.reader(state_.loop.now()) == nullptr;
+}
+
+std::uint64_t peer_service::upstream_revision() const {
+  const auto* reader = peers_.reader(state_.loop.now());
+  return reader ? reader->upstream_revision : 0;
+}
+
+bool peer_service::config_is_newer_elsewhere() const {
+  const auto& all = peers_.all();
+  return std::any_of(all.begin(), all.end(), [&](const auto& item) {
+    return item.second.config_revision > state_.config->revision();
   });
-  return static_cast<std::size_t>(count);
 }
 
 void peer_service::note_members() {
-  auto now = find_members();
+  auto now = peers_.members(state_.loop.now());
   if (now == last_members_) return;
   last_members_ = std::move(now);
+  if (peers_.own_role() != role::mesh) expect_peers();
   told_.members_changed();
 }
 
-bool peer_service::reads_before_self(const member_id& id,
-                                     const peer& other) const {
-  auto own = state_.settings.capacity;
-  if (other.capacity != own) return other.capacity > own;
-  return stable_hash(id.value) < stable_hash(state_.settings.self.value);
-}
-
-// Nothing if it is this instance itself.
-const peer_service::peer* peer_service::domain_reader() const {
-  const peer* best = nullptr;
-  std::uint64_t best_hash = 0;
-  for (const auto& [id, entry] : peers_) {
-    bool may = is_near(entry) && !entry.leaving && !entry.lacks_store &&
-               entry.ever_heard &&
-               state_.loop.now() - entry.heard < reader_fresh;
-    if (!may || !reads_before_self(id, entry)) continue;
-    auto hash = stable_hash(id.value);
-    bool better = !best || entry.capacity > best->capacity ||
-                  (entry.capacity == best->capacity && hash < best_hash);
-    if (!better) continue;
-    best = &entry;
-    best_hash = hash;
+// Whose reports the limits count depends on the role.
+void peer_service::expect_peers() {
+  instant now = state_.loop.now();
+  auto& limits = state_.limits;
+  if (peers_.own_role() == role::member) {
+    auto others = static_cast<double>(last_members_.size()) - 1;
+    return limits.expect_peer(now, all_of({}), others, false);
+  }
+  bool mesh = peers_.own_role() == role::mesh;
+  for (const auto& [id, entry] : peers_.all()) {
+    bool near = peers_.is_near(entry);
+    if (!mesh && !(near && peers_.lives(now, entry))) continue;
+    limits.expect_peer(now, id, 1, near);
+  }
+  if (mesh) return;
+  for (const auto& domain : peers_.other_domains()) {
+    auto size = static_cast<double>(peers_.size_of(now, domain));
+    limits.expect_peer(now, all_of(domain), size, false);
   }
-  return best;
 }
 
-std::uint64_t peer_service::upstream_revision() const {
-  const auto* reader = domain_reader();
-  return reader ? reader->upstream_revision : 0;
+void peer_service::change_role() {
+  if (!peers_.update_role(state_.loop.now())) return;
+  constexpr std::array<std::string_view, 3> names{"mesh", "hub", "member"};
+  const auto* hub = peers_.reader(state_.loop.now());
+  state_.log.write(
+      journal_event::belief, "role_changed",
+      {{"role", names[static_cast<std::size_t>(peers_.own_role())]},
+       {"hub", hub ? hub->record.id.value : std::string()},
+       {"members", std::uint64_t{last_members_.size()}}});
+  state_.limits.forget_peers();
+  expect_peers();
+  hurry();
 }
 
-bool peer_service::config_is_newer_elsewhere() const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
-    return item.second.config_revision > state_.config->revision();
-  });
+// More peers hear from an instance less often.
+duration peer_service::least_interval() const {
+  auto peers = static_cast<double>(peers_.all().size());
+  std::chrono::duration<double> out(peers / most_datagrams);
+  return std::chrono::duration_cast<duration>(out);
 }
 
-std::vector<store_api::member_record> peer_service::long_silent() const {
-  std::vector<store_api::member_record> out;
-  for (const auto& [id, entry] : peers_) {
-    auto last = std::max(entry.heard, entry.known);
-    if (state_.loop.now() - last > record_kept) out.push_back(entry.record);
-  }
-  return out;
+bool peer_service::is_urgent() const {
+  if (state_.limits.pressed() || lacks_store()) return true;
+  return std::any_of(
+      state_.groups.begin(), state_.groups.end(),
+      [](const auto& item) { return item.second->watch().failing(); });
 }
 
-// More peers hear from an instance less often.
-duration peer_service::least_interval() const {
-  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-      static_cast<double>(peers_.size()) / most_datagrams));
+// Only peers can tell then whether this instance is on the losing side of a
+// partition.
+bool peer_service::lacks_store() const {
+  return state_.proof.proven() &&
+         state_.partition.silent_for(state_.loop.now()) > store_missed;
 }
 
 void peer_service::tick() {
-  instant now = state_.loop.now();
+  peers_.set_lacks_store(lacks_store());
+  change_role();
   note_members();
   ask_positions();
+  switch (peers_.own_role()) {
+    case role::mesh:
+      return tick_mesh();
+    case role::hub:
+      return tick_hub();
+    case role::member:
+      return tick_member();
+  }
+}
+
+void peer_service::tick_mesh() {
+  instant now = state_.loop.now();
   auto least = least_interval();
-  state_.limits.expect_reports_every(least);
   bool wanted = state_.limits.wants_report() && now >= last_far_ + least;
   if (now < next_near_ && now < next_far_ && !wanted) return;
-  bool urgent = state_.limits.pressed() || lacks_store();
-  for (const auto& [id, group] : state_.groups) {
-    urgent = urgent || group->watch().failing();
-  }
+  bool urgent = is_urgent();
   if (now >= next_near_ || wanted) {
     auto interval = urgent ? urgent_near_interval : near_interval;
     next_near_ = now + interval;
@@ -190,26 +220,40 @@
   }
 }
 
-// Only peers can tell then whether this instance is on the losing side of a
-// partition.
-bool peer_service::lacks_store() const {
-  return state_.proof.proven() &&
-         state_.partition.silent_for(state_.loop.now()) > store_missed;
+void peer_service::tick_hub() {
+  instant now = state_.loop.now();
+  if (now < next_near_ && !state_.limits.wants_report()) return;
+  next_near_ = now + (is_urgent() ? urgent_near_interval : near_interval);
+  send_near(true);
+  send_to_hubs();
+  state_.limits.reported();
 }
 
-bool peer_service::is_near(const peer& what) const {
-  return what.record.domain == state_.settings.domain;
+void peer_service::tick_member() {
+  instant now = state_.loop.now();
+  if (now < next_near_ && !state_.limits.wants_report()) return;
+  next_near_ = now + (is_urgent() ? urgent_near_interval : near_interval);
+  const peer* hub = peers_.reader(now);
+  if (!hub) return;
+  send_parts(make_parts({}), *hub);
+  state_.limits.reported();
 }
 
-peer_report peer_service::make_report() const {
+peer_report peer_service::make_report(const contents& what) const {
   instant now = state_.loop.now();
   peer_report out;
+  out.whose = what.whose;
   out.domain = short_hash(state_.settings.domain.value);
   out.leaving = state_.stopping;
   out.settled = state_.limits.settled(now);
   out.lacks_store = lacks_store();
+  out.wants_reply = out.lacks_store && !what.reply;
   out.capacity = state_.settings.capacity;
   out.upstream_revision = upstream_revision_;
+  auto alone = state_.partition.alone_after();
+  bool domain = what.whose == scope::domain;
+  out.heard = static_cast<std::uint32_t>(domain ? peers_.heard_near(now, alone)
+                                                : heard_within(alone));
   if (state_.proof.proven()) {
     out.config_revision = state_.config->revision();
     auto age = std::chrono::ceil<milliseconds>(state_.proof.age(now));
@@ -217,58 +261,94 @@
         std::clamp<std::int64_t>(age.count(), 0, 1'000'000));
   }
   for (const auto& [id, group] : state_.groups) {
-    out.sightings.items.push_back(group->watch().sighting(now, id));
+    auto sighting = group->watch().sighting(now, id);
+    if (domain) {
+      auto near = peers_.size_of(now, state_.settings.domain) + 1;
+      sighting.speaks_for = static_cast<std::uint16_t>(near);
+    }
+    out.sightings.items.push_back(sighting);
+  }
+  if (what.whose != scope::self) {
+    out.gone.items = peers_.gone(now, domain);
+    if (out.gone.items.size() > most_gone) out.gone.items.resize(most_gone);
   }
   return out;
 }
 
-// Several if there are more teams than a datagram holds; only the first one
-// names the groups.
-std::vector<std::string> peer_service::make_reports(purpose what_for) const {
-  auto uses = state_.limits.report(what_for != purpose::pressed_teams);
+// Several if there are more teams than a datagram holds.
+peer_service::parts peer_service::make_parts(const contents& what) {
+  using use_scope = rate_ledger::scope;
+  constexpr std::array<use_scope, 3> scopes{use_scope::own, use_scope::domain,
+                                            use_scope::fleet};
+  auto whose = scopes[static_cast<std::size_t>(what.whose)];
+  auto uses = state_.limits.report(what.all_teams, whose);
   std::span<const team_use> rest(uses);
-  std::vector<std::string> out;
-  auto report = make_report();
-  report.wants_reply = report.lacks_store && what_for != purpose::reply;
+  parts out;
+  auto report = make_report(what);
   auto stamp = stamp_of(boot_time());
   do {
-    auto used = report.sightings.items.size() * sighting_bytes;
+    auto used = report.sightings.items.size() * sighting_bytes +
+                report.gone.items.size() * gone_bytes;
     auto room = used < report_bytes ? (report_bytes - used) / use_bytes : 0;
     auto part = rest.first(std::min(rest.size(), std::max(room, least_uses)));
     report.uses.items.assign(part.begin(), part.end());
     report.stamp = stamp++;
+    if (what.whose == scope::self) others_.sent(report.stamp, part);
     out.push_back(encode(peer_message(report)));
+    report.head = false;
     report.sightings.items.clear();
+    report.gone.items.clear();
     rest = rest.subspan(part.size());
   } while (!rest.empty());
   return out;
 }
 
 void peer_service::send_near(bool to_all) {
-  if (peers_.empty()) return;
+  instant now = state_.loop.now();
   ++turn_;
-  auto bodies = make_reports(purpose::full);
-  const peer* reader = domain_reader();
-  for (auto& [id, entry] : peers_) {
-    if (!is_near(entry) || (!to_all && &entry != reader)) continue;
-    if (!lives(entry) && turn_ % silent_every != 0) continue;
-    send_report(bodies, entry);
+  bool hub = peers_.own_role() == role::hub;
+  auto bodies = make_parts({hub ? scope::fleet : scope::self, true, false});
+  const peer* reader = peers_.reader(now);
+  for (const auto& [id, entry] : peers_.all()) {
+    if (!peers_.is_near(entry) || (!to_all && &entry != reader)) continue;
+    if (!peers_.lives(now, entry) && turn_ % silent_every != 0) continue;
+    send_parts(bodies, entry);
   }
 }
 
 void peer_service::send_far() {
+  instant now = state_.loop.now();
   ++turn_;
-  bool full = state_.loop.now() >= next_full_;
-  auto bodies = make_reports(full ? purpose::full : purpose::pressed_teams);
-  for (auto& [id, entry] : peers_) {
-    if (is_near(entry)) continue;
-    if (!lives(entry) && turn_ % silent_every != 0) continue;
-    send_report(bodies, entry);
+  auto bodies = make_parts({scope::self, now >= next_full_, false});
+  for (const auto& [id, entry] : peers_.all()) {
+    if (peers_.is_near(entry)) continue;
+    if (!peers_.lives(now, entry) && turn_ % silent_every != 0) continue;
+    send_parts(bodies, entry);
   }
 }
 
-void peer_service::send_report(const std::vector<std::string>& bodies,
-                               const peer& to) {
+// Until a domain's hub is known its instances are tried by turns; the hub
+// answers those of its domain that think that they are it.
+void peer_service::send_to_hubs() {
+  instant now = state_.loop.now();
+  auto bodies = make_parts({scope::domain, true, false});
+  for (const auto& domain : peers_.other_domains()) {
+    if (const peer* hub = peers_.hub_of(now, domain)) {
+      send_parts(bodies, *hub);
+      continue;
+    }
+    std::vector<const peer*> tried;
+    for (const auto& [id, entry] : peers_.all()) {
+      if (entry.record.domain == domain) tried.push_back(&entry);
+    }
+    auto tries = std::min(hub_tries, tried.size());
+    for (std::size_t i = 0; i < tries; ++i) {
+      send_parts(bodies, *tried[(turn_ * hub_tries + i) % tried.size()]);
+    }
+  }
+}
+
+void peer_service::send_parts(const parts& bodies, const peer& to) {
   for (const auto& body : bodies) send(body, to.stamp, to.record.address);
 }
 
@@ -288,16 +368,18 @@
 }
 
 void peer_service::tell(const upstream_news& news) {
+  instant now = state_.loop.now();
   auto body = encode(peer_message(news));
-  for (const auto& [id, entry] : peers_) {
-    if (is_near(entry) && lives(entry)) send(body, 0, entry.record.address);
+  for (const auto& [id, entry] : peers_.all()) {
+    bool wanted = peers_.is_near(entry) && peers_.lives(now, entry);
+    if (wanted) send(body, 0, entry.record.address);
   }
 }
 
 // Where connections are few, one instance of the domain probes the leaders,
 // and the others ask it when a read needs a fresh position.
 void peer_service::ask_positions() {
-  const peer* reader = domain_reader();
+  const peer* reader = peers_.reader(state_.loop.now());
   bool wanted = false;
   for (const auto& [id, group] : state_.groups) {
     group->set_prober(!reader);
@@ -308,123 +390,4 @@
   send(encode(peer_message(question)), 0, reader->record.address);
 }
 
-// The name is only compared with this instance's own.
-domain_id peer_service::domain_of(std::uint32_t hash) const {
-  const auto& own = state_.settings.domain;
-  if (short_hash(own.value) == hash) return own;
-  return domain_id("#" + std::to_string(hash));
-}
-
-void peer_service::take(std::span<const char> bytes, const inet_address& from) {
-  try {
-    auto envelope = unpack_datagram(bytes);
-    auto frame = decode<peer_frame>(envelope.payload);
-    auto message = decode<peer_message>(frame.body);
-    if (envelope.from == state_.settings.self) return;
-    std::visit(overloaded{[&](const peer_report& report) {
-                            take_report(envelope, from, frame.echo, report);
-                          },
-                          [&](const position_question& question) {
-                            answer_positions(from, question);
-                          },
-                          [&](const position_answer& a) { take_positions(a); },
-                          [&](const upstream_news& news) {
-                            told_.upstreams_changed(news);
-                          }},
-               message);
-  } catch (const protocol_error& e) {
-    state_.log.write(journal_event::dependency, "bad_datagram",
-                     {{"from", to_text(from)}, {"reason", e.what()}});
-  }
-}
-
-void peer_service::take_report(const datagram& envelope,
-                               const inet_address& from, std::uint64_t echo,
-                               const peer_report& report) {
-  instant now = state_.loop.now();
-  const member_id& id = envelope.from;
-  auto [at, fresh] = peers_.try_emplace(id);
-  peer& entry = at->second;
-  if (fresh) {
-    entry.record = {id, domain_of(report.domain), from};
-    entry.known = now;
-  }
-  bool restarted = entry.incarnation != envelope.incarnation;
-  if (!restarted && report.stamp <= entry.stamp) return;  // Came late.
-  entry.incarnation = envelope.incarnation;
-  entry.record.address = from;
-  entry.stamp = report.stamp;
-  entry.echoed = echo;
-  entry.heard = now;
-  entry.ever_heard = true;
-  entry.leaving = report.leaving;
-  entry.lacks_store = report.lacks_store;
-  entry.capacity = report.capacity;
-  entry.upstream_revision = report.upstream_revision;
-  entry.config_revision = report.config_revision;
-  state_.limits.take_report(now, id, envelope.incarnation, report.settled,
-                            report.uses.items);
-  for (const auto& sighting : report.sightings.items) {
-    for (auto& [name, group] : state_.groups) {
-      if (short_hash(name.value) != sighting.group) continue;
-      group->watch().take_sighting(now, id, sighting);
-    }
-  }
-  take_proof(entry, report);
-  if (fresh || restarted) note_members();
-  // A new process waits for what its peers know, and one without the store
-  // for a sign that it is not alone.
-  bool replies = fresh || restarted || report.wants_reply;
-  if (!replies || report.sightings.items.empty()) return;
-  send_report(make_reports(purpose::reply), entry);
-}
-
-void peer_service::answer_positions(const inet_address& to,
-                                    const position_question& question) {
-  instant now = state_.loop.now();
-  position_answer out;
-  out.echo = question.stamp;
-  for (const auto& [id, group] : state_.groups) {
-    group->want_samples();
-    auto newest = group->samples().newest();
-    if (!newest) continue;
-    auto age =
-        std::chrono::ceil<milliseconds>(now - group->samples().newest_time());
-    if (age > position_samples::keep) continue;
-    out.positions.items.push_back({short_hash(id.value), *newest,
-                                   static_cast<std::uint32_t>(age.count())});
-  }
-  send(encode(peer_message(out)), 0, to);
-}
-
-// The peer answered after the question was sent, so the position is no older
-// than the question less the age that the answer names.
-void peer_service::take_positions(const position_answer& answer) {
-  instant asked(duration(static_cast<std::int64_t>(answer.echo)));
-  // Stamps of an earlier process prove nothing to this one.
-  if (answer.echo < incarnation_ || asked > state_.loop.now()) return;
-  for (const auto& item : answer.positions.items) {
-    for (auto& [name, group] : state_.groups) {
-      if (short_hash(name.value) != item.group) continue;
-      group->samples().note(asked - milliseconds(item.age_ms), item.position);
-    }
-  }
-}
-
-// A peer that has heard our stamp sent its report after it, so what it proves
-// is no older than the stamp less the age that it names. A report that was
-// long on its way, or that waited while this process was suspended, proves no
-// more than that.
-void peer_service::take_proof(const peer& from, const peer_report& report) {
-  bool same = report.config_revision != 0 &&
-              report.config_revision == state_.config->revision();
-  // Stamps of an earlier process prove nothing to this one.
-  if (!same || from.echoed < incarnation_) return;
-  instant sent(duration(static_cast<std::int64_t>(from.echoed)));
-  if (sent > state_.loop.now()) return;
-  instant proven = sent - milliseconds(report.config_age_ms);
-  state_.proof.prove(proven);
-  state_.partition.store_answered(proven);
-}
-
 }  // namespace toucanmux
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <functional>
-#include <map>
+#include <string>
 #include <vector>
 
+#include "proxy/peer-directory.h"
 #include "proxy/proxy-state.h"
 #include "proxy/store-api.h"
 #include "proxy/udp-port.h"
+#include "toucanmux/proxy/others-use.h"
 #include "toucanmux/proxy/peer-message.h"
 
 namespace toucanmux {
@@ -25,6 +27,7 @@
 
   /// An instance that the store knows.
   void add(const store_api::member_record& peer);
+  void remove(const member_id& id);
   /// Called a few times a second.
   void tick();
   /// Peers should hear of a change at once.
@@ -32,13 +35,17 @@
 
   /// All instances that live as far as is known, this one included.
   const std::vector<member_id>& members() const { return last_members_; }
-  /// Peers that have reported within two of their intervals.
-  std::vector<member_id> heard_lately() const;
-  std::size_t heard_within(duration age) const;
   std::size_t member_count() const { return last_members_.size(); }
+  std::size_t heard_within(duration age) const;
+  std::vector<store_api::member_record> long_silent() const;
+
+  /// Whether this instance may replace leaders: a hub does it for its domain.
+  bool replaces_leaders() const;
+  /// The peers that may and that were heard lately.
+  std::vector<member_id> replacers() const;
   /// Whether this instance follows the store for its failure domain and
-  /// probes the leaders for it: the largest of those that reach the store.
-  bool reads_for_domain() const { return domain_reader() == nullptr; }
+  /// probes the leaders for it.
+  bool reads_for_domain() const;
   /// The newest state of discovery that the domain's reader has.
   std::uint64_t upstream_revision() const;
   /// Sends the failure domain what has changed in discovery.
@@ -49,64 +56,57 @@
   }
   /// A peer has a configuration that this instance lacks.
   bool config_is_newer_elsewhere() const;
-  std::vector<store_api::member_record> long_silent() const;
-  void remove(const member_id& id);
 
  private:
-  struct peer {
-    store_api::member_record record;
-    std::uint64_t incarnation = 0;
-    instant known;  ///< Since when its record is known.
-    instant heard;  ///< The last report.
-    bool ever_heard = false;
-    bool leaving = false;
-    bool lacks_store = false;
-    std::uint32_t capacity = 0;
-    std::uint64_t upstream_revision = 0;
-    std::uint64_t stamp = 0;   ///< Of its last report.
-    std::uint64_t echoed = 0;  ///< Our last stamp that it has heard.
-    std::uint64_t config_revision = 0;
+  /// What goes into a report.
+  struct contents {
+    peer_report::scope whose = peer_report::scope::self;
+    bool all_teams = true;  ///< Or only those near their limit.
+    bool reply = false;     ///< It answers a report and wants no answer.
   };
+  using parts = std::vector<std::string>;
 
-  bool lives(const peer& what) const;
-  bool reads_before_self(const member_id& id, const peer& other) const;
-  const peer* domain_reader() const;
-  domain_id domain_of(std::uint32_t hash) const;
+  /// Whom the sums of a hub stand for in the limits: a domain, or all others.
+  static member_id all_of(const domain_id& domain);
+  static std::uint64_t incarnation_of(const peer& hub);
 
   void take(std::span<const char> bytes, const inet_address& from);
   void take_report(const datagram& envelope, const inet_address& from,
                    std::uint64_t echo, const peer_report& report);
+  void take_uses(const peer& from, const peer_report& report);
+  void take_sightings(const peer& from, const peer_report& report);
   void take_proof(const peer& from, const peer_report& report);
+  void reply(const peer& to);
   void answer_positions(const inet_address& to,
                         const position_question& question);
   void take_positions(const position_answer& answer);
 
+  void change_role();
+  void expect_peers();
+  void note_members();
   void ask_positions();
+  bool is_urgent() const;
   duration least_interval() const;
+  void tick_mesh();
+  void tick_hub();
+  void tick_member();
+
+  peer_report make_report(const contents& what) const;
+  parts make_parts(const contents& what);
   void send_near(bool to_all);
   void send_far();
-  /// What a report is for.
-  enum class purpose : std::uint8_t {
-    full,           ///< Names all teams.
-    pressed_teams,  ///< Names only those near their limit.
-    reply           ///< Full, and wants no reply itself.
-  };
-
-  std::vector<std::string> make_reports(purpose what_for) const;
-  peer_report make_report() const;
-  void send_report(const std::vector<std::string>& bodies, const peer& to);
+  void send_to_hubs();
+  void send_parts(const parts& bodies, const peer& to);
   void send(const std::string& body, std::uint64_t echo,
             const inet_address& to);
-  bool is_near(const peer& what) const;
   bool lacks_store() const;
-  void note_members();
-  std::vector<member_id> find_members() const;
 
   proxy_state& state_;
   handlers told_;
   udp_port port_;
   std::uint64_t incarnation_;
-  std::map<member_id, peer> peers_;
+  peer_directory peers_;
+  others_use others_;
   std::vector<member_id> last_members_;
   std::uint64_t upstream_revision_ = 0;
   instant next_near_;  ///< To instances of the same failure domain.
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -79,8 +79,11 @@
   silent_after_ = std::max(settings_.silent_after, interval * missed_reports);
 }
 
-void rate_ledger::expect_peer(instant now, const member_id& peer) {
+void rate_ledger::expect_peer(instant now, const member_id& peer, double weight,
+                              bool near) {
   auto [at, fresh] = peers_.try_emplace(peer);
+  at->second.weight = weight;
+  at->second.near = near;
   if (!fresh) return;
   at->second.heard = now;
   refresh(now);
@@ -123,7 +126,7 @@
     double measured = seconds(now - known.measured);
     if (first) {
       // Its rate is unknown yet: an even share.
-      known.admit_rate = even_share(use.team);
+      known.admit_rate = even_share(use.team) * from.weight;
       known.start_measure(now);
     } else if (measured >= seconds(shortest_measure)) {
       known.admit_rate = known.fresh_admitted / measured;
@@ -134,6 +137,7 @@
     known.admitted = use.admitted;
     known.wanted = use.wanted;
     known.reported = now;
+    known.kept = use.kept_percent / 100.0;
     if (first && settled) {
       adopt(now, use);
     } else if (!reserved) {
@@ -143,6 +147,7 @@
     if (account* team = find(use.team)) {
       advance(now, *team);
       team->expected_rate += known.admit_rate - rate_before;
+      count(*team, from.near, admitted, wanted);
     }
   }
   bool counted = from.ever_heard && !from.silent;
@@ -156,6 +161,20 @@
   if (!counted || now - refreshed_ >= refresh_interval()) refresh(now);
 }
 
+void rate_ledger::count(account& team, bool near, std::int32_t admitted,
+                        std::int32_t wanted) {
+  (near ? team.near_admitted : team.far_admitted) +=
+      static_cast<std::uint32_t>(admitted);
+  (near ? team.near_wanted : team.far_wanted) +=
+      static_cast<std::uint32_t>(wanted);
+}
+
+double rate_ledger::members() const {
+  double out = 1;
+  for (const auto& [id, other] : peers_) out += other.weight;
+  return out;
+}
+
 duration rate_ledger::refresh_interval() const {
   auto peers = static_cast<duration::rep>(peers_.size());
   return std::max(refresh_every, refresh_each_peer * peers);
@@ -178,7 +197,7 @@
 
 double rate_ledger::even_share(std::uint32_t team) {
   const account* entry = find(team);
-  return entry ? entry->rate / static_cast<double>(peers_.size() + 1) : 0;
+  return entry ? entry->rate / members() : 0;
 }
 
 void rate_ledger::spend(instant now, std::uint32_t team, double count) {
@@ -241,16 +260,36 @@
   for (auto& [team, entry] : accounts_) entry.recent = 0;
 }
 
-std::vector<team_use> rate_ledger::report(bool all) const {
+std::vector<team_use> rate_ledger::report(bool all, scope whose) const {
   std::vector<team_use> out;
   for (const auto& [team, entry] : accounts_) {
-    if (entry.wanted == 0 || (!all && !near_limit(entry))) continue;
-    out.push_back({entry.key, entry.admitted, entry.wanted,
-                   static_cast<float>(entry.level)});
+    auto use = describe(entry, whose);
+    if (use.wanted == 0 || (!all && !near_limit(entry))) continue;
+    out.push_back(use);
   }
   return out;
 }
 
+team_use rate_ledger::describe(const account& entry, scope whose) {
+  team_use out;
+  out.team = entry.key;
+  out.admitted = entry.admitted;
+  out.wanted = entry.wanted;
+  out.level = static_cast<float>(entry.level);
+  if (whose == scope::own) return out;
+  out.admitted += entry.near_admitted;
+  out.wanted += entry.near_wanted;
+  double kept = entry.near_kept;
+  if (whose == scope::fleet) {
+    out.admitted += entry.far_admitted;
+    out.wanted += entry.far_wanted;
+    kept = 1 - entry.available;
+  }
+  out.kept_percent =
+      static_cast<std::uint8_t>(std::ceil(std::clamp(kept, 0.0, 1.0) * 100));
+  return out;
+}
+
 bool rate_ledger::near_limit(const account& entry) {
   return entry.wanted > 0 && entry.level < entry.burst * pressed_below;
 }
@@ -302,38 +341,37 @@
         reserved += use != other.uses.end() ? use->second.reserved : 0;
         continue;
       }
-      total += least_demand;
+      total += least_demand * other.weight;
       if (use != other.uses.end()) total += use->second.demand;
     }
     peer_use& own = silent.uses[entry.key];
-    own.reserved =
-        std::max(0.0, 1 - reserved) * (own.demand + least_demand) / total;
+    double wanted = own.demand + least_demand * silent.weight;
+    own.reserved = std::max(0.0, 1 - reserved) * wanted / total;
   }
 }
 
 void rate_ledger::refresh_account(account& entry) {
-  entry.available = 1;
   entry.expected_rate = 0;
-  auto members = static_cast<double>(peers_.size() + 1);
+  entry.near_kept = 0;
+  double far_kept = 0;
+  double all = members();
   double wanting = entry.demand + least_demand;
   for (const auto& [id, other] : peers_) {
-    wanting += least_demand;
+    wanting += least_demand * other.weight;
+    double& kept = other.near ? entry.near_kept : far_kept;
     if (!other.ever_heard) {
-      entry.available -= 1 / members;
+      kept += other.weight / all;
       continue;
     }
     auto use = other.uses.find(entry.key);
-    if (use != other.uses.end()) wanting += use->second.demand;
     if (use == other.uses.end()) continue;
-    if (other.silent) {
-      entry.available -= use->second.reserved;
-      continue;
-    }
-    entry.expected_rate += use->second.admit_rate;
+    wanting += use->second.demand;
+    kept += other.silent ? use->second.reserved : use->second.kept;
+    if (!other.silent) entry.expected_rate += use->second.admit_rate;
   }
-  entry.available = std::max(entry.available, 0.0);
+  entry.available = std::max(1 - entry.near_kept - far_kept, 0.0);
   entry.part =
-      std::max((entry.demand + least_demand) / wanting, least_part / members);
+      std::max((entry.demand + least_demand) / wanting, least_part / all);
 }
 
 void rate_ledger::advance(instant now, account& entry) const {
