--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -5,6 +5,7 @@
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/bounded-list.h"
 #include "toucanmux/proxy/group-sighting.h"
+#include "toucanmux/proxy/position-messages.h"
 #include "toucanmux/proxy/team-use.h"
 
 namespace toucanmux {
@@ -33,6 +34,8 @@
   std::uint32_t config_age_ms = 0;  ///< Since the revision was proven.
   bounded_list<team_use, 1024> uses;
   bounded_list<group_sighting, 1024> sightings;
+  /// Where the sender probes the leaders for others.
+  bounded_list<group_position, 1024> positions;
   /// Instances that a hub counts as gone: low bits of the names' hashes.
   bounded_list<std::uint32_t, 4096> gone;
 
@@ -43,7 +46,8 @@
             CEREAL_NVP(wants_reply), CEREAL_NVP(settled), CEREAL_NVP(capacity),
             CEREAL_NVP(heard), CEREAL_NVP(upstream_revision),
             CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
-            CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(gone));
+            CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(positions),
+            CEREAL_NVP(gone));
   }
 };
 
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -137,6 +137,13 @@
   return best;
 }
 
+bool peer_directory::goes_before_hubs(instant now) const {
+  return std::none_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return p.second.is_hub && speaks(now, p.second) &&
+           goes_before_self(p.second);
+  });
+}
+
 std::vector<domain_id> peer_directory::other_domains() const {
   std::set<domain_id> found;
   for (const auto& [id, entry] : peers_) {
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -71,6 +71,8 @@
   const peer* reader(instant now) const;
   /// The peer that speaks for another failure domain, if one does.
   const peer* hub_of(instant now, const domain_id& domain) const;
+  /// Whether this instance goes before all hubs that are heard.
+  bool goes_before_hubs(instant now) const;
   std::vector<domain_id> other_domains() const;
   std::size_t size_of(instant now, const domain_id& domain) const;
 
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -28,7 +28,9 @@
                           [&](const position_question& question) {
                             answer_positions(from, question);
                           },
-                          [&](const position_answer& a) { take_positions(a); },
+                          [&](const position_answer& answer) {
+                            take_positions(answer.echo, answer.positions.items);
+                          },
                           [&](const upstream_news& news) {
                             told_.upstreams_changed(news);
                           }},
@@ -50,6 +52,7 @@
   if (!report.head) return;
   take_sightings(sender, report);
   take_proof(sender, report);
+  take_positions(echo, report.positions.items);
   if (arrived.fresh) note_members();
   // A new process waits for what its peers know, and one without the store
   // for a sign that it is not alone.
@@ -131,29 +134,20 @@
 
 void peer_service::answer_positions(const inet_address& to,
                                     const position_question& question) {
-  instant now = state_.loop.now();
   position_answer out;
   out.echo = question.stamp;
-  for (const auto& [id, group] : state_.groups) {
-    group->want_samples();
-    auto newest = group->samples().newest();
-    if (!newest) continue;
-    auto age =
-        std::chrono::ceil<milliseconds>(now - group->samples().newest_time());
-    if (age > position_samples::keep) continue;
-    out.positions.items.push_back({short_hash(id.value), *newest,
-                                   static_cast<std::uint32_t>(age.count())});
-  }
+  out.positions.items = positions();
   send(encode(peer_message(out)), 0, to);
 }
 
-// The peer answered after the question was sent, so the position is no older
-// than the question less the age that the answer names.
-void peer_service::take_positions(const position_answer& answer) {
-  instant asked(duration(static_cast<std::int64_t>(answer.echo)));
+// The peer wrote after our stamp, so its positions are no older than the stamp
+// less the ages that it names.
+void peer_service::take_positions(std::uint64_t echo,
+                                  std::span<const group_position> positions) {
+  instant asked(duration(static_cast<std::int64_t>(echo)));
   // Stamps of an earlier process prove nothing to this one.
-  if (answer.echo < incarnation_ || asked > state_.loop.now()) return;
-  for (const auto& item : answer.positions.items) {
+  if (echo < incarnation_ || asked > state_.loop.now()) return;
+  for (const auto& item : positions) {
     for (auto& [name, group] : state_.groups) {
       if (short_hash(name.value) != item.group) continue;
       group->samples().note(asked - milliseconds(item.age_ms), item.position);
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -38,6 +38,7 @@
 constexpr std::size_t use_bytes = 17;
 constexpr std::size_t sighting_bytes = 13;
 constexpr std::size_t gone_bytes = 4;
+constexpr std::size_t position_bytes = 24;
 constexpr std::size_t least_uses = 8;
 constexpr std::size_t most_gone = 120;
 
@@ -106,6 +107,10 @@
   return peers_.reader(state_.loop.now()) == nullptr;
 }
 
+bool peer_service::reads_for_all() const {
+  return peers_.goes_before_hubs(state_.loop.now());
+}
+
 std::uint64_t peer_service::upstream_revision() const {
   const auto* reader = peers_.reader(state_.loop.now());
   return reader ? reader->upstream_revision : 0;
@@ -186,7 +191,7 @@
   peers_.set_lacks_store(lacks_store());
   change_role();
   note_members();
-  ask_positions();
+  share_probes();
   switch (peers_.own_role()) {
     case role::mesh:
       return tick_mesh();
@@ -268,6 +273,7 @@
     }
     out.sightings.items.push_back(sighting);
   }
+  if (shares_positions_ && !domain) out.positions.items = positions();
   if (what.whose != scope::self) {
     out.gone.items = peers_.gone(now, domain);
     if (out.gone.items.size() > most_gone) out.gone.items.resize(most_gone);
@@ -288,7 +294,8 @@
   auto stamp = stamp_of(boot_time());
   do {
     auto used = report.sightings.items.size() * sighting_bytes +
-                report.gone.items.size() * gone_bytes;
+                report.gone.items.size() * gone_bytes +
+                report.positions.items.size() * position_bytes;
     auto room = used < report_bytes ? (report_bytes - used) / use_bytes : 0;
     auto part = rest.first(std::min(rest.size(), std::max(room, least_uses)));
     report.uses.items.assign(part.begin(), part.end());
@@ -298,6 +305,7 @@
     report.head = false;
     report.sightings.items.clear();
     report.gone.items.clear();
+    report.positions.items.clear();
     rest = rest.subspan(part.size());
   } while (!rest.empty());
   return out;
@@ -376,13 +384,19 @@
   }
 }
 
-// Where connections are few, one instance of the domain probes the leaders,
-// and the others ask it when a read needs a fresh position.
-void peer_service::ask_positions() {
+// Where instances or their connections are many and few, one of the domain
+// probes the leaders and passes their positions on.
+void peer_service::share_probes() {
   const peer* reader = peers_.reader(state_.loop.now());
+  bool mesh = peers_.own_role() == role::mesh;
   bool wanted = false;
+  shares_positions_ = false;
   for (const auto& [id, group] : state_.groups) {
-    group->set_prober(!reader);
+    using probing = upstream_group::probing;
+    bool shared = !mesh || group->borrows();
+    auto others = reader ? probing::none : probing::shared;
+    group->set_probing(shared ? others : probing::own);
+    shares_positions_ = shares_positions_ || (shared && !reader);
     wanted = wanted || group->needs_samples();
   }
   if (!reader || !wanted) return;
@@ -390,4 +404,19 @@
   send(encode(peer_message(question)), 0, reader->record.address);
 }
 
+std::vector<group_position> peer_service::positions() const {
+  instant now = state_.loop.now();
+  std::vector<group_position> out;
+  for (const auto& [id, group] : state_.groups) {
+    auto newest = group->samples().newest();
+    if (!newest) continue;
+    auto age =
+        std::chrono::ceil<milliseconds>(now - group->samples().newest_time());
+    if (age > position_samples::keep) continue;
+    out.push_back({short_hash(id.value), *newest,
+                   static_cast<std::uint32_t>(age.count())});
+  }
+  return out;
+}
+
 }  // namespace toucanmux
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -46,6 +46,9 @@
   /// Whether this instance follows the store for its failure domain and
   /// probes the leaders for it.
   bool reads_for_domain() const;
+  /// Whether it goes before the hubs of all failure domains.
+  bool reads_for_all() const;
+  peer_directory::role own_role() const { return peers_.own_role(); }
   /// The newest state of discovery that the domain's reader has.
   std::uint64_t upstream_revision() const;
   /// Sends the failure domain what has changed in discovery.
@@ -79,12 +82,14 @@
   void reply(const peer& to);
   void answer_positions(const inet_address& to,
                         const position_question& question);
-  void take_positions(const position_answer& answer);
+  void take_positions(std::uint64_t echo,
+                      std::span<const group_position> positions);
 
   void change_role();
   void expect_peers();
   void note_members();
-  void ask_positions();
+  void share_probes();
+  std::vector<group_position> positions() const;
   bool is_urgent() const;
   duration least_interval() const;
   void tick_mesh();
@@ -107,6 +112,7 @@
   std::uint64_t incarnation_;
   peer_directory peers_;
   others_use others_;
+  bool shares_positions_ = false;
   std::vector<member_id> last_members_;
   std::uint64_t upstream_revision_ = 0;
   instant next_near_;  ///< To instances of the same failure domain.
--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -53,7 +53,8 @@
 http_call read_upstream(const database_id& id);
 std::optional<upstream_entry> parse_upstream(std::string_view body);
 
-http_call list_members(std::string_view after);
+/// @param may_be_stale an answer that is seconds old will do, and costs less.
+http_call list_members(std::string_view after, bool may_be_stale);
 struct member_page {
   std::vector<member_record> members;
   std::string continue_after;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -18,6 +18,10 @@
 // Others read for themselves when no peer's proof has come for so long: half
 // of the bound on withdrawn keys.
 constexpr duration own_read_age = milliseconds(2200);
+// A hub that another one goes before: two of its reports are missing.
+constexpr duration hub_read_age = milliseconds(1500);
+// Proofs come over two hubs and are older; a call still fits into the bound.
+constexpr duration member_read_age = milliseconds(3000);
 constexpr duration retry_interval = milliseconds(400);
 // Several times the store's usual answer, so that a silent connection is
 // noticed and a slow store still serves.
@@ -77,7 +81,16 @@
 }
 
 duration store_sync::read_interval() const {
-  return peers_.reads_for_domain() ? domain_read_interval : own_read_age;
+  using role = peer_directory::role;
+  switch (peers_.own_role()) {
+    case role::mesh:
+      return peers_.reads_for_domain() ? domain_read_interval : own_read_age;
+    case role::hub:
+      return peers_.reads_for_all() ? domain_read_interval : hub_read_age;
+    case role::member:
+      break;
+  }
+  return member_read_age;
 }
 
 void store_sync::note_store(bool reached, std::string_view call) {
@@ -140,6 +153,9 @@
       revision_ = 0;  // Its databases were passed over until now.
     }
     group->set_policy(policy);
+    if (!config.teams().empty()) {
+      group->set_probe_team(config.teams().front().team);
+    }
     group->set_members(members);
   }
   state_.log.write(journal_event::belief, "config_in_force",
@@ -332,11 +348,13 @@
 
 void store_sync::list_members(const std::string& after) {
   if (after.empty()) recorded_.clear();
+  // What is some seconds old is good enough for a look now and then.
+  auto call = store_api::list_members(after, peers_known_);
   listing_members_ = true;
   next_members_ = state_.loop.now() + retry_interval;
-  store_.call(
-      store_api::list_members(after), call_limit,
-      [this](http_result&& result) { take_members(std::move(result)); });
+  store_.call(std::move(call), call_limit, [this](http_result&& result) {
+    take_members(std::move(result));
+  });
 }
 
 void store_sync::take_members(http_result&& result) {
@@ -353,7 +371,7 @@
   if (!page->continue_after.empty()) return list_members(page->continue_after);
   registered_ = recorded_.contains(state_.settings.self);
   forget_unrecorded();
-  members_listed_ = true;
+  members_listed_ = peers_known_ = true;
   next_check_ = state_.loop.now() + check_interval;
 }
 
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -77,6 +77,7 @@
   bool registered_ = false;
   bool registering_ = false;
   bool members_listed_ = false;
+  bool peers_known_ = false;  ///< They have been listed once.
   bool listing_members_ = false;
   std::set<member_id> recorded_;  ///< Found by the last listing.
   instant next_members_;
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -24,6 +24,8 @@
 constexpr duration samples_wanted_for = seconds(3);
 // Samples that others ask for are kept fresher: they grow older on the way.
 constexpr duration shared_sample_age = milliseconds(300);
+// Samples come with the reports of another instance; one of these was lost.
+constexpr duration late_sample_age = milliseconds(1000);
 
 }  // namespace
 
@@ -91,7 +93,7 @@
   for (const auto& other : upstreams_) {
     if (!other->last_team.empty()) return open_link(index, other->last_team);
   }
-  return false;
+  return !probe_team_.empty() && open_link(index, probe_team_);
 }
 
 bool upstream_group::samples_are_wanted(duration older_than) const {
@@ -101,13 +103,13 @@
 }
 
 bool upstream_group::needs_samples() const {
-  auto index = leader_index();
-  return index && !prober_ && upstreams_[*index]->allowed.borrows &&
-         samples_are_wanted(shared_sample_age);
+  return probing_ == probing::none && has_leader() &&
+         samples_are_wanted(late_sample_age);
 }
 
-bool upstream_group::probes(const upstream& what) const {
-  return prober_ || !what.allowed.borrows;
+bool upstream_group::borrows() const {
+  auto index = leader_index();
+  return index && upstreams_[*index]->allowed.borrows;
 }
 
 void upstream_group::probe_leader() {
@@ -115,9 +117,10 @@
   auto index = leader_index();
   if (!index) return;
   upstream& up = *upstreams_[*index];
-  if (up.suspended || !probes(up)) return;
+  if (up.suspended || probing_ == probing::none) return;
+  if (probing_ == probing::shared) samples_wanted_ = now;
   bool quiet = !up.answered || now - *up.answered > probe_after;
-  auto age = up.allowed.borrows ? shared_sample_age : sample_age;
+  auto age = probing_ == probing::shared ? shared_sample_age : sample_age;
   if (!quiet && !samples_are_wanted(age)) return;
   if (upstream_link* idle = exchangeable(up)) {
     ++up.in_flight;
@@ -139,7 +142,7 @@
   instant now = loop_.now();
   auto limit = on.rest.value(on.allowed.borrows);
   // The next probe of the leader would only open one again.
-  std::size_t kept = leads && probes(on) ? 1 : 0;
+  std::size_t kept = leads && probing_ != probing::none ? 1 : 0;
   bool leaves = !usable(on) && (on.removed || on.draining);
   auto links = on.links;
   std::size_t held = links.size();
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -77,11 +77,19 @@
   /// Asks one database about itself; `done` is called once.
   void ask(const database_id& id, link_step step, std::uint64_t term,
            status_handler done);
-  /// Whether this instance keeps the samples fresh, for others as well. Where
-  /// connections are borrowed only few do.
-  void set_prober(bool probes) { prober_ = probes; }
+  /// Who probes the leader for its position.
+  enum class probing : std::uint8_t {
+    own,     ///< This instance, as far as its reads want it.
+    shared,  ///< This instance, always and for others as well.
+    none     ///< Another one, which passes its samples on.
+  };
+  void set_probing(probing how) { probing_ = how; }
   /// Fresh samples are wanted and this instance does not probe for them.
   bool needs_samples() const;
+  /// True if connections to the leader are borrowed.
+  bool borrows() const;
+  /// The team in whose name the databases are probed until another is known.
+  void set_probe_team(const team_id& team) { probe_team_ = team; }
   /// Called a few times a second.
   void tick();
   std::uint64_t opened() const { return opened_; }
@@ -126,7 +134,6 @@
   bool open_probe(std::size_t index);
   bool samples_are_wanted(duration older_than) const;
   void probe_leader();
-  bool probes(const upstream& what) const;
   void trim();
   void trim_one(upstream& on, bool leads);
   void drop_gone();
@@ -146,7 +153,8 @@
   leader_watch watch_;
   std::optional<database_id> last_leader_;
   instant samples_wanted_;
-  bool prober_ = true;
+  probing probing_ = probing::own;
+  team_id probe_team_;
   bool serving_ = false;
   bool serve_due_ = false;
   std::vector<std::unique_ptr<question>> questions_;
