--- a/include/toucanmux/proxy/peer-message.h
+++ b/include/toucanmux/proxy/peer-message.h
@@ -2,6 +2,7 @@
 
 #include <variant>
 
+#include "toucanmux/proxy/hub-notice.h"
 #include "toucanmux/proxy/peer-report.h"
 #include "toucanmux/proxy/position-messages.h"
 #include "toucanmux/proxy/upstream-news.h"
@@ -10,6 +11,6 @@
 
 /// What proxy instances send each other.
 using peer_message = std::variant<peer_report, position_question,
-                                  position_answer, upstream_news>;
+                                  position_answer, upstream_news, hub_notice>;
 
 }  // namespace toucanmux
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -33,7 +33,8 @@
                           },
                           [&](const upstream_news& news) {
                             told_.upstreams_changed(news);
-                          }},
+                          },
+                          [&](const hub_notice& notice) { follow(notice); }},
                message);
   } catch (const protocol_error& e) {
     state_.log.write(journal_event::dependency, "bad_datagram",
@@ -57,6 +58,23 @@
   // A new process waits for what its peers know, and one without the store
   // for a sign that it is not alone.
   if (arrived.fresh || report.wants_reply) reply(sender);
+  if (report.whose == scope::domain) point_to_hub(sender);
+}
+
+// A hub that is new does not know those of the other domains.
+void peer_service::point_to_hub(const peer& to) {
+  const peer* hub = peers_.reader(state_.loop.now());
+  bool mistaken = peers_.own_role() == role::member && !peers_.is_near(to);
+  if (!hub || !mistaken) return;
+  send(encode(peer_message(hub_notice{hub->record.id})), 0, to.record.address);
+}
+
+void peer_service::follow(const hub_notice& notice) {
+  auto known = peers_.all().find(notice.hub);
+  if (known == peers_.all().end()) return;
+  if (peers_.own_role() != role::hub) return;
+  if (peers_.hub_of(state_.loop.now(), known->second.record.domain)) return;
+  send_parts(make_parts({scope::domain, true, false}), known->second);
 }
 
 void peer_service::reply(const peer& to) {
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -32,7 +32,7 @@
 // A silent peer hears from this instance less often.
 constexpr unsigned silent_every = 5;
 // Instances of a failure domain that are tried until its hub is known.
-constexpr std::size_t hub_tries = 2;
+constexpr std::size_t hub_tries = 6;
 // What a report's lists may take of a datagram, and what their items take.
 constexpr std::size_t report_bytes = 1080;
 constexpr std::size_t use_bytes = 17;
@@ -335,8 +335,8 @@
   }
 }
 
-// Until a domain's hub is known its instances are tried by turns; the hub
-// answers those of its domain that think that they are it.
+// Until a domain's hub is known its instances are tried by turns; they answer
+// who it is.
 void peer_service::send_to_hubs() {
   instant now = state_.loop.now();
   auto bodies = make_parts({scope::domain, true, false});
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -80,6 +80,8 @@
   void take_sightings(const peer& from, const peer_report& report);
   void take_proof(const peer& from, const peer_report& report);
   void reply(const peer& to);
+  void point_to_hub(const peer& to);
+  void follow(const hub_notice& notice);
   void answer_positions(const inet_address& to,
                         const position_question& question);
   void take_positions(std::uint64_t echo,
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -147,7 +147,8 @@
     if (account* team = find(use.team)) {
       advance(now, *team);
       team->expected_rate += known.admit_rate - rate_before;
-      count(*team, from.near, admitted, wanted);
+      // Those who add these sums up have kept the reserved share as well.
+      if (!reserved) count(*team, from.near, admitted, wanted);
     }
   }
   bool counted = from.ever_heard && !from.silent;
--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -6,6 +6,8 @@
 #include <deque>
 #include <random>
 
+#include "toucanmux/proxy/others-use.h"
+
 using namespace toucanmux;
 using namespace std::chrono_literals;
 
@@ -102,6 +104,124 @@
   std::vector<instant> times_;
 };
 
+/// Failure domains whose instances report to one hub each; the hubs exchange
+/// sums and tell everybody what all have used.
+class hub_fleet {
+ public:
+  hub_fleet(std::size_t domains, std::size_t each, const team_plan& plan)
+      : each_(each), ledgers_(domains * each), others_(domains * each) {
+    echoes_.resize(ledgers_.size());
+    cut_off.resize(ledgers_.size());
+    auto rest = static_cast<double>(ledgers_.size() - 1);
+    for (std::size_t i = 0; i < ledgers_.size(); ++i) {
+      ledgers_[i].configure(now, std::span(&plan, 1));
+      if (!is_hub(i)) {
+        ledgers_[i].expect_peer(now, member_id("*"), rest, false);
+        continue;
+      }
+      for (std::size_t j = i + 1; j < i + each_; ++j) {
+        ledgers_[i].expect_peer(now, name(j));
+      }
+      for (std::size_t j = 0; j < ledgers_.size(); j += each_) {
+        auto size = static_cast<double>(each_);
+        if (j != i) ledgers_[i].expect_peer(now, name(j), size, false);
+      }
+    }
+  }
+
+  void run(duration length, double per_second, std::mt19937& random) {
+    auto end = now + length;
+    std::exponential_distribution<double> gap(per_second);
+    auto next = now;
+    while (now < end) {
+      next += std::chrono::duration_cast<duration>(
+          std::chrono::duration<double>(gap(random)));
+      while (report_due_ <= next) {
+        now = report_due_;
+        report_due_ += 400ms;
+        report();
+      }
+      now = next;
+      auto at = random() % ledgers_.size();
+      ++asked;
+      if (!ledgers_[at].admit(now, team).admitted) continue;
+      ++admitted;
+      times_.push_back(now);
+    }
+  }
+
+  std::size_t most_within(duration window) const {
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times_.size(); ++last) {
+      while (times_[last] - times_[first] >= window) ++first;
+      most = std::max(most, last - first + 1);
+    }
+    return most;
+  }
+
+  /// Instances that nobody hears and that hear nobody.
+  std::vector<bool> cut_off;
+  instant now{100s};
+  std::size_t asked = 0;
+  std::size_t admitted = 0;
+
+ private:
+  using scope = rate_ledger::scope;
+
+  bool is_hub(std::size_t i) const { return i % each_ == 0; }
+  static member_id name(std::size_t i) {
+    return member_id("edge-" + std::to_string(i));
+  }
+
+  void report() {
+    ++stamp_;
+    for (std::size_t i = 0; i < ledgers_.size(); ++i) {
+      if (!is_hub(i)) tell_hub(i);
+    }
+    for (std::size_t i = 0; i < ledgers_.size(); i += each_) {
+      if (!cut_off[i]) tell_hubs(i);
+    }
+    for (std::size_t i = 0; i < ledgers_.size(); i += each_) {
+      if (!cut_off[i]) tell_members(i);
+    }
+  }
+  void tell_hub(std::size_t i) {
+    auto hub = i - i % each_;
+    auto uses = ledgers_[i].report(true, scope::own);
+    others_[i].sent(stamp_, uses);
+    ledgers_[i].reported();
+    if (cut_off[i] || cut_off[hub]) return;
+    ledgers_[hub].take_report(now, name(i), 1, ledgers_[i].settled(now), uses);
+    echoes_[i] = stamp_;
+  }
+  void tell_hubs(std::size_t i) {
+    auto uses = ledgers_[i].report(true, scope::domain);
+    for (std::size_t j = 0; j < ledgers_.size(); j += each_) {
+      if (j == i || cut_off[j]) continue;
+      ledgers_[j].take_report(now, name(i), 1, ledgers_[i].settled(now), uses);
+    }
+  }
+  void tell_members(std::size_t i) {
+    auto uses = ledgers_[i].report(true, scope::fleet);
+    ledgers_[i].reported();
+    for (std::size_t j = i + 1; j < i + each_; ++j) {
+      if (cut_off[j]) continue;
+      ledgers_[j].take_report(
+          now, member_id("*"), 1, ledgers_[i].settled(now),
+          others_[j].take(i + 1, stamp_ * 100, echoes_[j], uses));
+    }
+  }
+
+  std::size_t each_;
+  std::vector<rate_ledger> ledgers_;
+  std::vector<others_use> others_;
+  std::vector<std::uint64_t> echoes_;
+  std::uint64_t stamp_ = 0;
+  instant report_due_{100s};
+  std::vector<instant> times_;
+};
+
 // A hot team sends 7.5 times its usual, and its rate is 1.6 times the usual.
 constexpr double usual = 1 / 1.6;
 constexpr double hot = 7.5 / 1.6;
@@ -275,3 +395,36 @@
   // 32 of 100 are spent, and 5 have come in.
   BOOST_TEST(admitted <= 73);
 }
+
+BOOST_AUTO_TEST_CASE(instances_behind_hubs_stay_within_the_limit) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    std::mt19937 random(seed);
+    double rate = 10 + static_cast<double>(random() % 300);
+    hub_fleet all(3, 46, plan_of(rate, rate));
+    all.run(8s, rate * usual, random);
+    all.asked = all.admitted = 0;
+    all.run(20s, rate * usual, random);
+    BOOST_TEST(all.admitted >= all.asked * 0.98);
+    all.run(12s, rate * hot, random);
+    BOOST_TEST(all.most_within(5s) <= bound(rate, rate));
+    all.asked = all.admitted = 0;
+    all.run(10s, rate * hot, random);
+    BOOST_TEST(all.admitted >= rate * 10 * 0.8);
+  }
+}
+
+// A hub once passed on what an instance had admitted while it was cut off,
+// although its share had been kept for it; teams were refused for seconds.
+BOOST_AUTO_TEST_CASE(an_instance_that_was_cut_off_leaves_no_debt) {
+  std::mt19937 random(4);
+  hub_fleet all(3, 10, plan_of(300, 300));
+  all.run(10s, 300 * usual, random);
+  for (std::size_t i = 0; i < 30; i += 3) all.cut_off[i + 1] = true;
+  all.run(10s, 300 * usual, random);
+  all.cut_off.assign(30, false);
+  all.run(1s, 300 * usual, random);
+  all.asked = all.admitted = 0;
+  all.run(5s, 300 * usual, random);
+  BOOST_TEST(all.admitted >= all.asked * 0.95);
+  BOOST_TEST(all.most_within(5s) <= bound(300, 300));
+}
