--- a/include/toucanmux/proxy/leader-watch.h
+++ b/include/toucanmux/proxy/leader-watch.h
@@ -56,6 +56,10 @@
   std::vector<member_id> failing_with(instant now) const;
   group_sighting sighting(instant now, const group_id& group) const;
   bool failing() const { return failing_since_.has_value(); }
+  /// This instance or a peer finds the leader failing.
+  bool disputed(instant now) const {
+    return failing() || !failing_with(now).empty();
+  }
 
  private:
   struct seen {
--- a/include/toucanmux/proxy/others-use.h
+++ b/include/toucanmux/proxy/others-use.h
@@ -17,11 +17,10 @@
   /// This instance has told the hub of its own use.
   void sent(std::uint64_t stamp, std::span<const team_use> own);
   /// @param hub changes with the hub and with each of its processes.
-  /// @param stamp of the hub's message.
+  /// @param whole with this message all teams were named.
   /// @param echo the stamp of the last report that the sums contain.
   /// @return what the others have used since the hub's first message.
-  std::vector<team_use> take(std::uint64_t hub, std::uint64_t stamp,
-                             std::uint64_t echo,
+  std::vector<team_use> take(std::uint64_t hub, bool whole, std::uint64_t echo,
                              std::span<const team_use> fleet);
 
  private:
@@ -46,8 +45,8 @@
   std::deque<own_report> sent_;
   std::map<std::uint32_t, team_count> teams_;
   std::uint64_t hub_ = 0;
-  std::uint64_t first_stamp_ = 0;
   std::uint64_t first_echo_ = 0;
+  bool begun_ = false;  ///< All sums of this hub were heard once.
 };
 
 }  // namespace toucanmux
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -23,12 +23,16 @@
   bool head = true;  ///< The first part: only it has all that is not `uses`.
   std::uint32_t domain = 0;  ///< The low bits of the name's stable hash.
   std::uint64_t stamp = 0;   ///< The sender's steady time in microseconds.
+  std::uint64_t cycle = 0;   ///< The stamp of the first part.
+  /// In all parts together; 0 if not all teams are named.
+  std::uint32_t uses_in_all = 0;
   bool leaving = false;
   bool lacks_store = false;  ///< The sender does not reach the store.
   bool wants_reply = false;
   bool settled = false;        ///< The levels in `uses` may be taken over.
   std::uint32_t capacity = 0;  ///< Thousandths of a core.
   std::uint32_t heard = 0;     ///< Peers that a hub has heard a moment ago.
+  std::uint32_t known = 0;     ///< Peers that it knows of.
   std::uint64_t upstream_revision = 0;  ///< Of what it knows of discovery.
   std::uint64_t config_revision = 0;
   std::uint32_t config_age_ms = 0;  ///< Since the revision was proven.
@@ -42,9 +46,10 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(whose), CEREAL_NVP(head), CEREAL_NVP(domain),
-            CEREAL_NVP(stamp), CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
+            CEREAL_NVP(stamp), CEREAL_NVP(cycle), CEREAL_NVP(uses_in_all),
+            CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
             CEREAL_NVP(wants_reply), CEREAL_NVP(settled), CEREAL_NVP(capacity),
-            CEREAL_NVP(heard), CEREAL_NVP(upstream_revision),
+            CEREAL_NVP(heard), CEREAL_NVP(known), CEREAL_NVP(upstream_revision),
             CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
             CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(positions),
             CEREAL_NVP(gone));
--- a/include/toucanmux/proxy/position-messages.h
+++ b/include/toucanmux/proxy/position-messages.h
@@ -11,10 +11,12 @@
 /// Asks a peer for the positions that it has proven.
 struct position_question {
   std::uint64_t stamp = 0;  ///< The sender's steady time in microseconds.
+  /// The groups that are wanted: low bits of the names' hashes.
+  bounded_list<std::uint32_t, 1024> groups;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(CEREAL_NVP(stamp));
+    archive(CEREAL_NVP(stamp), CEREAL_NVP(groups));
   }
 };
 
--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -73,9 +73,10 @@
   void forget_peers() { peers_.clear(); }
   /// What a peer has admitted since its start.
   /// @param settled the peer has heard others, so that its levels count.
+  /// @param whole with this one all teams that it has used were named.
   void take_report(instant now, const member_id& peer,
                    std::uint64_t incarnation, bool settled,
-                   std::span<const team_use> uses);
+                   std::span<const team_use> uses, bool whole = true);
   /// True once a settled peer was heard, or nobody was there to be heard.
   bool settled(instant now) const;
 
@@ -119,8 +120,8 @@
   struct peer_account {
     std::uint64_t incarnation = 0;
     instant heard;
-    instant began;      ///< Its first report of this incarnation.
-    double weight = 1;  ///< Instances that it stands for.
+    bool begun = false;  ///< All that it had used before is known.
+    double weight = 1;   ///< Instances that it stands for.
     bool near = true;
     bool ever_heard = false;
     bool silent = true;
--- a/src/proxy/http-caller.cc
+++ b/src/proxy/http-caller.cc
@@ -1,5 +1,6 @@
 #include "proxy/http-caller.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -10,6 +11,8 @@
 
 namespace http = boost::beast::http;
 constexpr std::uint64_t largest_body = 8'388'608;
+// Times the limit that an answer may take while it goes on.
+constexpr int longest_answer = 4;
 
 }  // namespace
 
@@ -75,7 +78,12 @@
   auto used = parser.put(boost::asio::buffer(input), failed);
   input.erase(0, used);
   if (failed && failed != http::error::need_more) return end({}, false);
-  if (!parser.is_done()) return;
+  if (!parser.is_done()) {
+    // A large answer that comes slowly is no silence.
+    auto last = asked_ + current_.limit * longest_answer;
+    loop_.arm(limit_, std::min(loop_.now() + current_.limit, last));
+    return;
+  }
   http_result result;
   result.answered = true;
   result.status = parser.get().result_int();
--- a/src/proxy/http-caller.h
+++ b/src/proxy/http-caller.h
@@ -27,7 +27,8 @@
 };
 
 /// A kept HTTP/1.1 connection that carries one call at a time; further ones
-/// wait in line. A call that has no answer in time ends the connection.
+/// wait in line. A call whose answer does not begin or go on in time ends the
+/// connection.
 class http_caller final : public stream_owner {
  public:
   using handler = std::function<void(http_result&&)>;
--- a/src/proxy/others-use.cc
+++ b/src/proxy/others-use.cc
@@ -8,8 +8,6 @@
 
 // Several times what is on its way before a hub counts as silent.
 constexpr std::size_t kept_reports = 32;
-// The parts of one message have stamps that follow each other.
-constexpr std::uint64_t most_parts = 64;
 
 }  // namespace
 
@@ -39,28 +37,28 @@
   what.others += static_cast<std::uint32_t>(std::max(change, 0));
 }
 
-std::vector<team_use> others_use::take(std::uint64_t hub, std::uint64_t stamp,
+std::vector<team_use> others_use::take(std::uint64_t hub, bool whole,
                                        std::uint64_t echo,
                                        std::span<const team_use> fleet) {
   if (hub != hub_) {
     hub_ = hub;
-    first_stamp_ = stamp;
     first_echo_ = echo;
+    begun_ = false;
     teams_.clear();
   }
-  bool first = stamp - first_stamp_ < most_parts;
   std::vector<team_use> out;
   out.reserve(fleet.size());
   for (const auto& use : fleet) {
     auto [at, fresh] = teams_.try_emplace(use.team);
     team_count& known = at->second;
     if (fresh) known.echo = first_echo_;
-    if (fresh && first) {
+    if (fresh && !begun_) {
       known.admitted.fleet = use.admitted;
       known.wanted.fleet = use.wanted;
     }
-    auto before = own_at(use.team, known.echo);
     auto now = own_at(use.team, echo);
+    // A hub that had not heard this instance begins with what it hears first.
+    auto before = known.echo != 0 ? own_at(use.team, known.echo) : now;
     advance(known.admitted, use.admitted, now.admitted - before.admitted);
     advance(known.wanted, use.wanted, now.wanted - before.wanted);
     known.echo = echo;
@@ -69,6 +67,7 @@
     others.wanted = known.wanted.others;
     out.push_back(others);
   }
+  begun_ = begun_ || whole;
   return out;
 }
 
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -68,16 +68,21 @@
   entry.heard = now;
   entry.ever_heard = true;
   entry.gone = false;
-  if (!report.head) return {&entry, false};
+  if (entry.cycle != report.cycle) entry.uses = 0;
+  entry.cycle = report.cycle;
+  entry.uses += report.uses.items.size();
+  bool whole = report.uses_in_all != 0 && entry.uses >= report.uses_in_all;
+  if (!report.head) return {&entry, false, whole};
   entry.leaving = report.leaving;
   entry.lacks_store = report.lacks_store;
   entry.is_hub = report.whose != peer_report::scope::self;
   entry.capacity = report.capacity;
   entry.peers_heard = report.heard;
+  entry.peers_known = report.known;
   entry.upstream_revision = report.upstream_revision;
   entry.config_revision = report.config_revision;
   take_gone(entry, report);
-  return {&entry, fresh || restarted};
+  return {&entry, fresh || restarted, whole};
 }
 
 // A hub knows who lives in its failure domain, and the own hub who lives in
@@ -226,6 +231,14 @@
   return out;
 }
 
+bool peer_directory::lacks_records(instant now) const {
+  if (role_ == role::mesh) return false;
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    return p.second.is_hub && speaks(now, p.second) &&
+           p.second.peers_known > peers_.size();
+  });
+}
+
 std::vector<std::uint32_t> peer_directory::gone(instant now,
                                                 bool near_only) const {
   std::vector<std::uint32_t> out;
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -24,8 +24,11 @@
   bool gone = false;    ///< A hub counts it as gone.
   std::uint32_t capacity = 0;
   std::uint32_t peers_heard = 0;  ///< By a hub.
+  std::uint32_t peers_known = 0;
   std::uint64_t upstream_revision = 0;
   std::uint64_t stamp = 0;   ///< Of its last report.
+  std::uint64_t cycle = 0;   ///< Of the report's first part.
+  std::size_t uses = 0;      ///< In the report's parts so far.
   std::uint64_t echoed = 0;  ///< Our last stamp that it has heard.
   std::uint64_t config_revision = 0;
 };
@@ -48,6 +51,7 @@
   struct arrival {
     peer* from = nullptr;  ///< Null if the report came late.
     bool fresh = false;    ///< The first one of this process.
+    bool whole = false;    ///< All its parts have come.
   };
 
   peer_directory(const member_id& self, const domain_id& domain,
@@ -80,6 +84,8 @@
   bool lives(instant now, const peer& what) const;
   /// All that live as far as is known, this instance included; sorted.
   std::vector<member_id> members(instant now) const;
+  /// The own hub or that of another domain knows more instances.
+  bool lacks_records(instant now) const;
   /// How many peers were heard by this instance or by its hub.
   std::size_t heard_within(instant now, duration age) const;
   /// How many of its failure domain a hub has heard, for another hub to count.
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -49,11 +49,11 @@
                              envelope.incarnation, from, echo, report);
   if (!arrived.from) return;
   const peer& sender = *arrived.from;
-  take_uses(sender, report);
-  if (!report.head) return;
+  take_uses(sender, report, arrived.whole);
   take_sightings(sender, report);
-  take_proof(sender, report);
   take_positions(echo, report.positions.items);
+  if (!report.head) return;
+  take_proof(sender, report);
   if (arrived.fresh) note_members();
   // A new process waits for what its peers know, and one without the store
   // for a sign that it is not alone.
@@ -92,7 +92,8 @@
 
 // A hub counts the instances of its domain one by one and the other domains
 // as one each; a member counts all others as one.
-void peer_service::take_uses(const peer& from, const peer_report& report) {
+void peer_service::take_uses(const peer& from, const peer_report& report,
+                             bool whole) {
   instant now = state_.loop.now();
   auto& limits = state_.limits;
   auto incarnation = incarnation_of(from);
@@ -103,24 +104,24 @@
     case role::mesh:
       if (!one) return;
       return limits.take_report(now, from.record.id, from.incarnation,
-                                report.settled, uses);
+                                report.settled, uses, whole);
     case role::hub: {
       if (near && one) {
         return limits.take_report(now, from.record.id, from.incarnation,
-                                  report.settled, uses);
+                                  report.settled, uses, whole);
       }
       const auto& domain = from.record.domain;
       bool sums = !near && report.whose == scope::domain &&
                   peers_.hub_of(now, domain) == &from;
       if (!sums) return;
       return limits.take_report(now, all_of(domain), incarnation,
-                                report.settled, uses);
+                                report.settled, uses, whole);
     }
     case role::member:
       if (report.whose != scope::fleet || peers_.reader(now) != &from) return;
       return limits.take_report(
           now, all_of({}), incarnation, report.settled,
-          others_.take(incarnation, report.stamp, from.echoed, uses));
+          others_.take(incarnation, whole, from.echoed, uses), whole);
   }
 }
 
@@ -154,7 +155,14 @@
                                     const position_question& question) {
   position_answer out;
   out.echo = question.stamp;
-  out.positions.items = positions();
+  for (const auto& [id, group] : state_.groups) {
+    const auto& wanted = question.groups.items;
+    auto hash = short_hash(id.value);
+    if (std::find(wanted.begin(), wanted.end(), hash) == wanted.end()) continue;
+    group->want_samples();
+    auto position = position_of(id, *group);
+    if (position) out.positions.items.push_back(*position);
+  }
   send(encode(peer_message(out)), 0, to);
 }
 
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -27,6 +27,8 @@
 constexpr double most_datagrams = 70;
 // Longer than the interval at which proofs of the store come.
 constexpr duration store_missed = milliseconds(1500);
+// Proofs that come over two hubs are older.
+constexpr duration store_missed_behind_hubs = milliseconds(2500);
 // Peers that were heard within two of their intervals.
 constexpr duration heard_lately = far_interval * 2;
 // A silent peer hears from this instance less often.
@@ -35,12 +37,32 @@
 constexpr std::size_t hub_tries = 6;
 // What a report's lists may take of a datagram, and what their items take.
 constexpr std::size_t report_bytes = 1080;
-constexpr std::size_t use_bytes = 17;
-constexpr std::size_t sighting_bytes = 13;
 constexpr std::size_t gone_bytes = 4;
-constexpr std::size_t position_bytes = 24;
-constexpr std::size_t least_uses = 8;
 constexpr std::size_t most_gone = 120;
+// Positions of more groups are not passed on in each report, but asked for.
+constexpr std::size_t most_shared_groups = 16;
+// The answer to a question has to fit into a datagram.
+constexpr std::size_t most_asked = 40;
+
+// Deals a list out to the parts of a report.
+template <class Item>
+class part_filler {
+ public:
+  explicit part_filler(std::span<const Item> items) : rest_(items) {}
+
+  bool left() const { return !rest_.empty(); }
+  // Takes what fits into the bytes that are left.
+  void fill(std::vector<Item>& out, std::size_t& room) {
+    auto count = std::min(rest_.size(), room / sizeof(Item));
+    out.assign(rest_.begin(),
+               rest_.begin() + static_cast<std::ptrdiff_t>(count));
+    rest_ = rest_.subspan(count);
+    room -= count * sizeof(Item);
+  }
+
+ private:
+  std::span<const Item> rest_;
+};
 
 std::uint64_t stamp_of(instant at) {
   return static_cast<std::uint64_t>(at.time_since_epoch().count());
@@ -88,6 +110,10 @@
   return peers_.long_silent(state_.loop.now());
 }
 
+bool peer_service::lacks_records() const {
+  return peers_.lacks_records(state_.loop.now());
+}
+
 bool peer_service::replaces_leaders() const {
   return peers_.own_role() != role::member;
 }
@@ -127,6 +153,12 @@
   auto now = peers_.members(state_.loop.now());
   if (now == last_members_) return;
   last_members_ = std::move(now);
+  near_members_.clear();
+  for (const auto& id : last_members_) {
+    auto known = peers_.all().find(id);
+    bool self = known == peers_.all().end();
+    if (self || peers_.is_near(known->second)) near_members_.push_back(id);
+  }
   if (peers_.own_role() != role::mesh) expect_peers();
   told_.members_changed();
 }
@@ -183,15 +215,23 @@
 // Only peers can tell then whether this instance is on the losing side of a
 // partition.
 bool peer_service::lacks_store() const {
+  bool mesh = peers_.own_role() == role::mesh;
   return state_.proof.proven() &&
-         state_.partition.silent_for(state_.loop.now()) > store_missed;
+         state_.partition.silent_for(state_.loop.now()) >
+             (mesh ? store_missed : store_missed_behind_hubs);
+}
+
+// Each is larger than the one before, though the clock may stand still.
+std::uint64_t peer_service::next_stamp() {
+  last_stamp_ = std::max(last_stamp_ + 1, stamp_of(boot_time()));
+  return last_stamp_;
 }
 
 void peer_service::tick() {
   peers_.set_lacks_store(lacks_store());
   change_role();
   note_members();
-  share_probes();
+  choose_probers();
   switch (peers_.own_role()) {
     case role::mesh:
       return tick_mesh();
@@ -254,6 +294,7 @@
   out.lacks_store = lacks_store();
   out.wants_reply = out.lacks_store && !what.reply;
   out.capacity = state_.settings.capacity;
+  out.known = static_cast<std::uint32_t>(peers_.all().size());
   out.upstream_revision = upstream_revision_;
   auto alone = state_.partition.alone_after();
   bool domain = what.whose == scope::domain;
@@ -265,7 +306,14 @@
     out.config_age_ms = static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(age.count(), 0, 1'000'000));
   }
+  bool mesh = peers_.own_role() == role::mesh;
   for (const auto& [id, group] : state_.groups) {
+    auto position = shares_positions_ && !domain
+                        ? position_of(id, *group)
+                        : std::optional<group_position>();
+    if (position) out.positions.items.push_back(*position);
+    // Sightings matter only where somebody finds the leader failing.
+    if (!mesh && !group->watch().disputed(now)) continue;
     auto sighting = group->watch().sighting(now, id);
     if (domain) {
       auto near = peers_.size_of(now, state_.settings.domain) + 1;
@@ -273,7 +321,6 @@
     }
     out.sightings.items.push_back(sighting);
   }
-  if (shares_positions_ && !domain) out.positions.items = positions();
   if (what.whose != scope::self) {
     out.gone.items = peers_.gone(now, domain);
     if (out.gone.items.size() > most_gone) out.gone.items.resize(most_gone);
@@ -281,33 +328,40 @@
   return out;
 }
 
-// Several if there are more teams than a datagram holds.
+// Several if there is more than a datagram holds.
 peer_service::parts peer_service::make_parts(const contents& what) {
   using use_scope = rate_ledger::scope;
   constexpr std::array<use_scope, 3> scopes{use_scope::own, use_scope::domain,
                                             use_scope::fleet};
   auto whose = scopes[static_cast<std::size_t>(what.whose)];
+  peer_report report = make_report(what);
   auto uses = state_.limits.report(what.all_teams, whose);
-  std::span<const team_use> rest(uses);
+  auto sightings = std::move(report.sightings.items);
+  auto positions = std::move(report.positions.items);
+  part_filler<team_use> next_uses(uses);
+  part_filler<group_sighting> next_sightings(sightings);
+  part_filler<group_position> next_positions(positions);
   parts out;
-  auto report = make_report(what);
-  auto stamp = stamp_of(boot_time());
+  report.cycle = next_stamp();
+  report.stamp = report.cycle;
+  // A report without any use is whole as well.
+  if (what.all_teams) {
+    report.uses_in_all =
+        std::max<std::uint32_t>(static_cast<std::uint32_t>(uses.size()), 1);
+  }
   do {
-    auto used = report.sightings.items.size() * sighting_bytes +
-                report.gone.items.size() * gone_bytes +
-                report.positions.items.size() * position_bytes;
-    auto room = used < report_bytes ? (report_bytes - used) / use_bytes : 0;
-    auto part = rest.first(std::min(rest.size(), std::max(room, least_uses)));
-    report.uses.items.assign(part.begin(), part.end());
-    report.stamp = stamp++;
-    if (what.whose == scope::self) others_.sent(report.stamp, part);
+    auto room = report_bytes - report.gone.items.size() * gone_bytes;
+    next_positions.fill(report.positions.items, room);
+    next_sightings.fill(report.sightings.items, room);
+    next_uses.fill(report.uses.items, room);
+    if (what.whose == scope::self) {
+      others_.sent(report.stamp, report.uses.items);
+    }
     out.push_back(encode(peer_message(report)));
     report.head = false;
-    report.sightings.items.clear();
     report.gone.items.clear();
-    report.positions.items.clear();
-    rest = rest.subspan(part.size());
-  } while (!rest.empty());
+    report.stamp = next_stamp();
+  } while (next_uses.left() || next_sightings.left() || next_positions.left());
   return out;
 }
 
@@ -384,39 +438,58 @@
   }
 }
 
-// Where instances or their connections are many and few, one of the domain
-// probes the leaders and passes their positions on.
-void peer_service::share_probes() {
-  const peer* reader = peers_.reader(state_.loop.now());
+// Who probes the leaders where not everybody does: the domain's reader, or all
+// by turns if there are many groups.
+const peer* peer_service::prober_of(const group_id& group) const {
+  bool few = state_.groups.size() <= most_shared_groups;
+  if (few || near_members_.empty()) return peers_.reader(state_.loop.now());
+  auto turn = short_hash(group.value) % near_members_.size();
+  auto known = peers_.all().find(near_members_[turn]);
+  return known != peers_.all().end() ? &known->second : nullptr;
+}
+
+// Where instances are many or connections are few, one instance of the domain
+// probes a leader, and passes its position on.
+void peer_service::choose_probers() {
+  using probing = upstream_group::probing;
+  instant now = state_.loop.now();
   bool mesh = peers_.own_role() == role::mesh;
-  bool wanted = false;
+  bool hub = peers_.own_role() == role::hub;
+  bool few = state_.groups.size() <= most_shared_groups;
   shares_positions_ = false;
+  std::map<const peer*, position_question> questions;
   for (const auto& [id, group] : state_.groups) {
-    using probing = upstream_group::probing;
-    bool shared = !mesh || group->borrows();
-    auto others = reader ? probing::none : probing::shared;
-    group->set_probing(shared ? others : probing::own);
-    shares_positions_ = shares_positions_ || (shared && !reader);
-    wanted = wanted || group->needs_samples();
+    if (mesh && !group->borrows()) {
+      group->set_probing(probing::own);
+      continue;
+    }
+    const peer* prober = prober_of(id);
+    if (few && !prober) {
+      shares_positions_ = true;
+      group->want_samples();
+    }
+    // Hubs look for themselves before they replace a leader.
+    bool looks = hub && group->watch().disputed(now);
+    group->set_probing(prober && !looks ? probing::none : probing::shared);
+    if (!prober || !group->needs_samples()) continue;
+    auto& asked = questions[prober].groups.items;
+    if (asked.size() < most_asked) asked.push_back(short_hash(id.value));
+  }
+  for (auto& [prober, question] : questions) {
+    question.stamp = stamp_of(boot_time());
+    send(encode(peer_message(question)), 0, prober->record.address);
   }
-  if (!reader || !wanted) return;
-  position_question question{stamp_of(boot_time())};
-  send(encode(peer_message(question)), 0, reader->record.address);
 }
 
-std::vector<group_position> peer_service::positions() const {
-  instant now = state_.loop.now();
-  std::vector<group_position> out;
-  for (const auto& [id, group] : state_.groups) {
-    auto newest = group->samples().newest();
-    if (!newest) continue;
-    auto age =
-        std::chrono::ceil<milliseconds>(now - group->samples().newest_time());
-    if (age > position_samples::keep) continue;
-    out.push_back({short_hash(id.value), *newest,
-                   static_cast<std::uint32_t>(age.count())});
-  }
-  return out;
+std::optional<group_position> peer_service::position_of(
+    const group_id& id, upstream_group& group) const {
+  auto newest = group.samples().newest();
+  if (!newest) return {};
+  auto age = std::chrono::ceil<milliseconds>(state_.loop.now() -
+                                             group.samples().newest_time());
+  if (age > position_samples::keep) return {};
+  return group_position{short_hash(id.value), *newest,
+                        static_cast<std::uint32_t>(age.count())};
 }
 
 }  // namespace toucanmux
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
   std::size_t member_count() const { return last_members_.size(); }
   std::size_t heard_within(duration age) const;
   std::vector<store_api::member_record> long_silent() const;
+  /// A hub knows instances that this one has no record of.
+  bool lacks_records() const;
 
   /// Whether this instance may replace leaders: a hub does it for its domain.
   bool replaces_leaders() const;
@@ -76,7 +79,7 @@
   void take(std::span<const char> bytes, const inet_address& from);
   void take_report(const datagram& envelope, const inet_address& from,
                    std::uint64_t echo, const peer_report& report);
-  void take_uses(const peer& from, const peer_report& report);
+  void take_uses(const peer& from, const peer_report& report, bool whole);
   void take_sightings(const peer& from, const peer_report& report);
   void take_proof(const peer& from, const peer_report& report);
   void reply(const peer& to);
@@ -91,7 +94,10 @@
   void expect_peers();
   void note_members();
   void share_probes();
-  std::vector<group_position> positions() const;
+  void choose_probers();
+  const peer* prober_of(const group_id& group) const;
+  std::optional<group_position> position_of(const group_id& id,
+                                            upstream_group& group) const;
   bool is_urgent() const;
   duration least_interval() const;
   void tick_mesh();
@@ -107,6 +113,7 @@
   void send(const std::string& body, std::uint64_t echo,
             const inet_address& to);
   bool lacks_store() const;
+  std::uint64_t next_stamp();
 
   proxy_state& state_;
   handlers told_;
@@ -114,7 +121,8 @@
   std::uint64_t incarnation_;
   peer_directory peers_;
   others_use others_;
-  bool shares_positions_ = false;
+  bool shares_positions_ = false;        ///< Of all groups, in each report.
+  std::vector<member_id> near_members_;  ///< That live, with this instance.
   std::vector<member_id> last_members_;
   std::uint64_t upstream_revision_ = 0;
   instant next_near_;  ///< To instances of the same failure domain.
@@ -123,6 +131,7 @@
   instant last_far_;
   instant next_full_;  ///< Far reports between name only pressed teams.
   unsigned turn_ = 0;
+  std::uint64_t last_stamp_ = 0;
 };
 
 }  // namespace toucanmux
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -11,8 +11,6 @@
 
 // A datagram may be lost, and the next one be late.
 constexpr int missed_reports = 3;
-// One report may come in several datagrams.
-constexpr duration report_parts = std::chrono::milliseconds(50);
 constexpr duration refresh_every = std::chrono::milliseconds(100);
 // Looking at all peers takes about 8 us a peer with 86 teams; so often it is a
 // thousandth of a core.
@@ -93,16 +91,16 @@
 
 void rate_ledger::take_report(instant now, const member_id& id,
                               std::uint64_t incarnation, bool settled,
-                              std::span<const team_use> uses) {
+                              std::span<const team_use> uses, bool whole) {
   peer_account& from = peers_[id];
   bool begins = !from.ever_heard || from.incarnation != incarnation;
-  if (begins) from.began = now;
+  if (begins) from.begun = false;
   // What a peer admits while it is silent was reserved for it.
   bool reserved = from.ever_heard && from.silent && !begins;
   for (const auto& use : uses) {
     peer_use& known = from.uses[use.team];
     bool unseen = known.incarnation != incarnation;
-    bool first = unseen && now - from.began < report_parts;
+    bool first = unseen && !from.begun;
     if (unseen) {
       known.incarnation = incarnation;
       known.admitted = known.wanted = 0;
@@ -125,8 +123,10 @@
     known.fresh_wanted += wanted;
     double measured = seconds(now - known.measured);
     if (first) {
-      // Its rate is unknown yet: an even share.
-      known.admit_rate = even_share(use.team) * from.weight;
+      // Its rate is unknown yet: an even share. Of many instances it stays
+      // what it was though another one speaks for them.
+      bool goes_on = from.weight > 1 && known.demand > 0;
+      if (!goes_on) known.admit_rate = even_share(use.team) * from.weight;
       known.start_measure(now);
     } else if (measured >= seconds(shortest_measure)) {
       known.admit_rate = known.fresh_admitted / measured;
@@ -151,6 +151,7 @@
       if (!reserved) count(*team, from.near, admitted, wanted);
     }
   }
+  from.begun = from.begun || whole;
   bool counted = from.ever_heard && !from.silent;
   from.incarnation = incarnation;
   from.heard = now;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -35,6 +35,9 @@
 // An instance makes sure so often that others find its record and that it has
 // theirs: a record may be removed or be written by one that was cut off.
 constexpr duration check_interval = seconds(40);
+// When others are known to be missing it looks again after this.
+constexpr duration missing_interval = seconds(3);
+constexpr duration unchecked_for = check_interval - missing_interval;
 // More changes at once than a datagram holds are read from the store.
 constexpr std::size_t most_changes = 8;
 
@@ -64,7 +67,9 @@
   if (now < next_members_) return;
   if (!registered_ && !registering_ && !listing_members_) register_self();
   if (registered_ && !members_listed_ && !listing_members_) list_members({});
-  if (members_listed_ && now >= next_check_) check_members();
+  bool check = now >= next_check_ ||
+               (peers_.lacks_records() && now >= next_check_ - unchecked_for);
+  if (members_listed_ && check) check_members();
 }
 
 // Only the reader of the failure domain watches; a news of it may be lost.
@@ -161,7 +166,8 @@
   state_.log.write(journal_event::belief, "config_in_force",
                    {{"version", config.version()},
                     {"revision", config.revision()},
-                    {"teams", std::uint64_t{config.teams().size()}}});
+                    {"teams", std::uint64_t{config.teams().size()}},
+                    {"bytes", std::uint64_t{body.size()}}});
   peers_.hurry();
 }
 
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -118,7 +118,6 @@
   if (!index) return;
   upstream& up = *upstreams_[*index];
   if (up.suspended || probing_ == probing::none) return;
-  if (probing_ == probing::shared) samples_wanted_ = now;
   bool quiet = !up.answered || now - *up.answered > probe_after;
   auto age = probing_ == probing::shared ? shared_sample_age : sample_age;
   if (!quiet && !samples_are_wanted(age)) return;
--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -6,6 +6,7 @@
 #include <deque>
 #include <random>
 
+#include "toucanmux/hash.h"
 #include "toucanmux/proxy/others-use.h"
 
 using namespace toucanmux;
@@ -207,9 +208,8 @@
     ledgers_[i].reported();
     for (std::size_t j = i + 1; j < i + each_; ++j) {
       if (cut_off[j]) continue;
-      ledgers_[j].take_report(
-          now, member_id("*"), 1, ledgers_[i].settled(now),
-          others_[j].take(i + 1, stamp_ * 100, echoes_[j], uses));
+      ledgers_[j].take_report(now, member_id("*"), 1, ledgers_[i].settled(now),
+                              others_[j].take(i + 1, true, echoes_[j], uses));
     }
   }
 
@@ -428,3 +428,43 @@
   BOOST_TEST(all.admitted >= all.asked * 0.95);
   BOOST_TEST(all.most_within(5s) <= bound(300, 300));
 }
+
+// A datagram of a hub's first report was lost; what all had ever used of its
+// teams was then taken for new use.
+BOOST_AUTO_TEST_CASE(a_lost_part_of_a_first_report_is_no_new_use) {
+  rate_ledger ledger;
+  auto plan = plan_of(100, 100);
+  instant now{1s};
+  ledger.configure(now, std::span(&plan, 1));
+  now += 20s;
+  std::vector<team_use> uses{{short_hash(team.value), 5000, 5000, 90.0F}};
+  member_id hub("*");
+  ledger.expect_peer(now, hub, 100, false);
+  ledger.take_report(now, hub, 1, true, {}, false);
+  ledger.take_report(now + 400ms, hub, 1, true, uses, true);
+  uses[0].admitted += 20;
+  uses[0].wanted += 20;
+  ledger.take_report(now + 800ms, hub, 1, true, uses, true);
+  BOOST_TEST(ledger.admit(now + 900ms, team).admitted);
+}
+
+BOOST_AUTO_TEST_CASE(own_use_is_found_again_in_the_sums) {
+  others_use others;
+  team_use own{1, 500, 500, 0.0F};
+  team_use all{1, 90, 90, 0.0F};
+  others.sent(10, std::span(&own, 1));
+  // The hub has not heard this instance, and then begins with what it hears.
+  BOOST_TEST(others.take(7, true, 0, std::span(&all, 1))[0].admitted == 0U);
+  all.admitted = 95;
+  BOOST_TEST(others.take(7, true, 10, std::span(&all, 1))[0].admitted == 5U);
+  own.admitted = 520;
+  others.sent(11, std::span(&own, 1));
+  all.admitted = 118;
+  BOOST_TEST(others.take(7, true, 11, std::span(&all, 1))[0].admitted == 8U);
+  // The sums may be late with the own use.
+  own.admitted = 530;
+  others.sent(12, std::span(&own, 1));
+  BOOST_TEST(others.take(7, true, 12, std::span(&all, 1))[0].admitted == 8U);
+  all.admitted = 130;
+  BOOST_TEST(others.take(7, true, 12, std::span(&all, 1))[0].admitted == 10U);
+}
