--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -167,7 +167,7 @@
 
 bool peer_directory::update_role(instant now) {
   role next = role::mesh;
-  if (peers_.size() > mesh_up_to) {
+  if (std::max(peers_.size(), known_to_hubs(now)) > mesh_up_to) {
     next = reader(now) ? role::member : role::hub;
   }
   if (next == role_) return false;
@@ -232,11 +232,16 @@
 }
 
 bool peer_directory::lacks_records(instant now) const {
-  if (role_ == role::mesh) return false;
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
-    return p.second.is_hub && speaks(now, p.second) &&
-           p.second.peers_known > peers_.size();
-  });
+  return known_to_hubs(now) > peers_.size();
+}
+
+std::size_t peer_directory::known_to_hubs(instant now) const {
+  std::size_t out = 0;
+  for (const auto& [id, entry] : peers_) {
+    bool counts = entry.is_hub && speaks(now, entry);
+    if (counts) out = std::max<std::size_t>(out, entry.peers_known);
+  }
+  return out;
 }
 
 std::vector<std::uint32_t> peer_directory::gone(instant now,
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -103,6 +103,7 @@
   bool goes_before(const peer& one, const peer& other) const;
   bool goes_before_self(const peer& what) const;
   bool speaks(instant now, const peer& what) const;
+  std::size_t known_to_hubs(instant now) const;
   bool hub_lives(instant now, const domain_id& domain) const;
   std::size_t count_heard(instant now, duration age, bool near_only) const;
   bool lives_by_reports(instant now, const peer& what) const;
--- a/test/peer-directory-test.cc
+++ b/test/peer-directory-test.cc
@@ -41,12 +41,14 @@
     report.capacity = capacity;
     report.gone.items = gone;
     report.heard = 40;
+    report.known = knows;
     return known.take(now, member_id(name), 1, {0x0a000002, 7560}, 0, report);
   }
 
   instant now{100s};
   std::uint64_t stamp = 0;
   std::vector<std::uint32_t> gone;
+  std::uint32_t knows = 0;
   peer_directory known;
 };
 
@@ -142,3 +144,14 @@
   BOOST_TEST(silent.size() == 1U);
   BOOST_TEST(silent[0].id.value == "n4");
 }
+
+// An instance that had listed few peers took the fleet for a small one, waited
+// for reports of all of them and kept their shares of the limits.
+BOOST_AUTO_TEST_CASE(a_hub_tells_that_the_fleet_is_large) {
+  fleet all(7);
+  all.knows = 138;
+  all.hear("n1", north, scope::fleet, 500);
+  BOOST_TEST(all.known.lacks_records(all.now));
+  all.known.update_role(all.now);
+  BOOST_TEST((all.known.own_role() == role::member));
+}
