--- a/include/toucanmux/proxy/upstream-choice.h
+++ b/include/toucanmux/proxy/upstream-choice.h
@@ -19,6 +19,7 @@
   unsigned in_flight = 0;     ///< Statements of this instance.
   duration response_time{0};  ///< Smoothed.
   bool behind = false;        ///< Answered lately that it lacks the position.
+  double failing = 0;         ///< Share of its statements that failed lately.
 };
 
 /// What a statement needs of its upstream.
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -225,6 +225,7 @@
       if (need.leader_only) {
         return fail_run(kind, "the leader is busy", overload_retry);
       }
+      if (group) group->note_failure(link.upstream());
       need.excluded |= bit;
       return retry_or_refuse("the databases are busy");
     case failure_kind::not_leader:
@@ -234,15 +235,28 @@
       link.forget_prepared();
       return retry_or_refuse("the statement was not prepared");
     default:
-      return fail_run(kind, "the database answered with an error");
+      return fail_here(link, kind);
   }
 }
 
+// It has run, and failed. A read that opens nothing may run again, where
+// another database is left.
+void client_session::fail_here(upstream_link& link, failure_kind kind) {
+  upstream_group* group = state_.find_group(route_.group);
+  if (group) group->note_failure(link.upstream());
+  bool again = group && may_run_again() && !need.leader_only &&
+               run_.attempts < most_attempts && !time_is_up() &&
+               state_.retries.may_retry(state_.loop.now());
+  if (!again) return fail_run(kind, "the database answered with an error");
+  state_.retries.count_retry(state_.loop.now());
+  try_elsewhere(link, "the database answered with an error");
+}
+
 // For statements that have not run.
 void client_session::retry_or_refuse(std::string_view why) {
   bool again = run_.first && run_.attempts < most_attempts && !time_is_up();
   if (!again) return fail_run(failure_kind::busy, why, overload_retry);
-  log_attempt(why);
+  if (link_) log_attempt(why);
   run_.sent = false;
   leave_link();
   attempt();
@@ -250,6 +264,7 @@
 
 void client_session::on_link_lost(upstream_link& link) {
   std::uint64_t bit = std::uint64_t{1} << (link.upstream() % 64);
+  if (running_) note_lost(link);
   link_.reset();
   if (!running_) return break_transaction("the connection was lost");
   bool commit = run_.verb == statement_verb::commit;
@@ -266,6 +281,12 @@
   retry_or_refuse("the database's connection was lost");
 }
 
+void client_session::note_lost(const upstream_link& link) {
+  log_attempt("the database's connection was lost");
+  auto* group = state_.find_group(route_.group);
+  if (group) group->note_failure(link.upstream());
+}
+
 // A read outside of a transaction, or the first one of a read-only one.
 bool client_session::may_run_again() const {
   return run_.first && reads_only() && run_.verb != statement_verb::commit;
@@ -274,13 +295,13 @@
 void client_session::on_link_silent(upstream_link& link) {
   if (!running_ || !may_run_again() || need.leader_only) return;
   if (run_.attempts >= most_attempts || time_is_up()) return;
-  try_elsewhere(link);
+  try_elsewhere(link, "no answer yet");
 }
 
 // The answer may be lost, or the database may be slow. What it still sends on
 // this connection belongs to nobody.
-void client_session::try_elsewhere(upstream_link& link) {
-  log_attempt("no answer yet");
+void client_session::try_elsewhere(upstream_link& link, std::string_view why) {
+  log_attempt(why);
   if (!need.leader_only) {
     need.excluded |= std::uint64_t{1} << (link.upstream() % 64);
   }
@@ -316,7 +337,10 @@
     state_.loop.arm(timer_, run_.deadline);
     if (!state_.retries.may_retry(state_.loop.now())) return;
     state_.retries.count_retry(state_.loop.now());
-    return try_elsewhere(*link_);
+    if (auto* group = state_.find_group(route_.group)) {
+      group->note_failure(link_->upstream());
+    }
+    return try_elsewhere(*link_, "no answer yet");
   }
   if (!run_.sent) {
     return fail_run(failure_kind::busy, "no connection was free in time",
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -108,6 +108,11 @@
 
 void client_session::take(const session_statement& what) {
   id_ = what.id;
+  bool ends = what.verb == statement_verb::rollback ||
+              what.verb == statement_verb::commit;
+  if (transaction_ == phase::failed && !ends) {
+    return reply_failure({failure_kind::bad_statement, "roll back first"});
+  }
   switch (what.verb) {
     case statement_verb::begin:
     case statement_verb::begin_read:
@@ -167,35 +172,23 @@
 }
 
 void client_session::take_value(const session_statement& what) {
-  if (transaction_ == phase::failed) {
-    return reply_failure({failure_kind::bad_statement, "roll back first"});
-  }
   values_.values[std::string(what.name)] = what.value;
   reply_done();
 }
 
 void client_session::take_prepare(const session_statement& what) {
-  if (transaction_ == phase::failed) {
-    return reply_failure({failure_kind::bad_statement, "roll back first"});
-  }
   values_.prepared[std::string(what.name)] = {what.writes,
                                               std::string(what.value)};
   reply_done();
 }
 
 void client_session::take_close_prepared(const session_statement& what) {
-  if (transaction_ == phase::failed) {
-    return reply_failure({failure_kind::bad_statement, "roll back first"});
-  }
   auto known = values_.prepared.find(what.name);
   if (known != values_.prepared.end()) values_.prepared.erase(known);
   reply_done();
 }
 
 void client_session::take_run(const session_statement& what) {
-  if (transaction_ == phase::failed) {
-    return reply_failure({failure_kind::bad_statement, "roll back first"});
-  }
   if (transaction_ == phase::broken) {
     transaction_ = phase::failed;
     return reply_failure(
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -107,6 +107,8 @@
 
   void succeed(const link_answer& answer);
   void fail(upstream_link& link, wire::failure_kind kind);
+  void fail_here(upstream_link& link, wire::failure_kind kind);
+  void note_lost(const upstream_link& link);
   void retry_or_refuse(std::string_view why);
   void fail_run(wire::failure_kind kind, std::string_view why,
                 duration retry_after = duration{0});
@@ -115,7 +117,7 @@
   void on_timer();
   void on_deadline();
   bool may_run_again() const;
-  void try_elsewhere(upstream_link& link);
+  void try_elsewhere(upstream_link& link, std::string_view why);
   void break_transaction(std::string_view why);
 
   void reply_done();
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -48,7 +48,6 @@
 
   bool open() const { return descriptor_ >= 0 && connected_; }
   bool closed() const { return descriptor_ < 0; }
-  std::size_t unsent() const { return output_.size(); }
 
   void on_ready(std::uint32_t events) override;
   void on_turn_end() override { flush(); }
--- a/src/proxy/upstream-choice.cc
+++ b/src/proxy/upstream-choice.cc
@@ -14,6 +14,9 @@
 constexpr duration other_domain_cost = std::chrono::milliseconds(12);
 // A database that lacks the position makes the read go round once more.
 constexpr duration behind_cost = std::chrono::milliseconds(60);
+// A statement that fails is run again elsewhere, if it may be; if all fail
+// alike none is left out.
+constexpr duration failure_cost = std::chrono::milliseconds(250);
 constexpr duration least_response = std::chrono::milliseconds(5);
 
 duration cost_of(const upstream_candidate& candidate,
@@ -24,6 +27,8 @@
   if (candidate.leader && !need.leader_only) cost += leader_cost;
   if (!candidate.same_domain) cost += other_domain_cost;
   if (candidate.behind) cost += behind_cost;
+  cost +=
+      std::chrono::duration_cast<duration>(failure_cost * candidate.failing);
   return cost;
 }
 
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -242,6 +242,7 @@
   out.in_flight = up.in_flight;
   out.response_time = up.response_time;
   out.behind = loop_.now() < up.behind_until;
+  out.failing = up.outcomes.failing(loop_.now());
   return out;
 }
 
@@ -462,6 +463,7 @@
   if (leads) watch_.leader_answered(now);
   if (answer.position) up.term = std::max(up.term, answer.position->term);
   if (answer.step == link_step::statement && answer.ok) {
+    up.outcomes.note(now, false);
     if (!leads && now >= up.behind_until) up.behind_count = 0;
     auto taken = now - answer.sent;
     up.response_time += std::chrono::duration_cast<duration>(
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -67,6 +67,10 @@
   void note_not_leader(std::size_t index);
   /// The database's log lacks a position that reads need.
   void note_behind(std::size_t index);
+  /// A statement failed there, whatever the reason.
+  void note_failure(std::size_t index) {
+    upstreams_[index]->outcomes.note(loop_.now(), true);
+  }
   position_samples& samples() { return samples_; }
   leader_watch& watch() { return watch_; }
   /// How long an answer of this database usually takes at the most.
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -6,6 +6,7 @@
 #include "proxy/upstream-link.h"
 #include "toucanmux/proxy/connection-share.h"
 #include "toucanmux/proxy/idle-limit.h"
+#include "toucanmux/proxy/outcome-score.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
 namespace toucanmux {
@@ -29,6 +30,7 @@
   std::uint64_t lead_revision = 0;  ///< When it began to claim the lead.
   std::uint64_t term = 0;           ///< The highest seen in its answers.
   duration response_time = std::chrono::milliseconds(15);
+  outcome_score outcomes;
   std::optional<instant> answered;  ///< The last answer of any kind.
   unsigned in_flight = 0;
   team_id last_team;  ///< Of the last connection that was opened.
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -181,6 +181,21 @@
   BOOST_TEST(second.lost_answers == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_read_that_fails_runs_elsewhere) {
+  auto holder = hold_leader(*this);
+  auto caller = connect("stock");
+  caller->ask("QUERY 1 FETCH 1a4");
+  second.refuse_with = "FAILED";
+  for (int i = 2; i < 8; ++i) {
+    auto answer = caller->ask("QUERY " + std::to_string(i) + " FETCH 1a4");
+    BOOST_TEST(begins(answer, "ROW"));
+  }
+  // A write has to be told.
+  first.refuse_with = "FAILED";
+  auto writer = connect("orders");
+  BOOST_TEST(begins(writer->ask("QUERY 9 PUT 1a4 x"), "ERR FAILED"));
+}
+
 BOOST_AUTO_TEST_CASE(a_commit_whose_connection_breaks_is_unknown) {
   auto caller = connect("orders");
   caller->ask("QUERY 1 BEGIN");
--- a/test/upstream-choice-test.cc
+++ b/test/upstream-choice-test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
+#include "toucanmux/proxy/outcome-score.h"
+
 using namespace toucanmux;
 using namespace std::chrono_literals;
 
@@ -57,6 +59,23 @@
   BOOST_TEST(choose_upstream(all, {}).value() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(outcomes_count_more_than_the_failure_domain) {
+  auto all = group();
+  outcome_score score;
+  instant now{1s};
+  for (int i = 0; i < 40; ++i) score.note(now, i % 5 < 2);
+  BOOST_TEST(score.failing(now) > 0.25);
+  BOOST_TEST(score.failing(now) < 0.55);
+  all[1].failing = score.failing(now);
+  all[2].same_domain = false;
+  BOOST_TEST(choose_upstream(all, {}).value() != 1U);
+  // If all fail alike nothing is gained by leaving one.
+  all[0].failing = all[2].failing = all[1].failing;
+  BOOST_TEST(choose_upstream(all, {}).value() == 1U);
+  // One that got nothing for a while is tried again.
+  BOOST_TEST(score.failing(now + 30s) < 0.01);
+}
+
 BOOST_AUTO_TEST_CASE(places_that_failed_are_left_out) {
   auto all = group();
   BOOST_TEST(choose_upstream(all, {false, 0b110}).value() == 0U);
