--- a/src/proxy/signal-pipe.cc
+++ b/src/proxy/signal-pipe.cc
@@ -29,7 +29,7 @@
     throw platform_error("pipe: no descriptor: raise the descriptor limit");
   }
   read_end_ = ends[0];
-  write_end = ends[1];
+  write_end = write_end_ = ends[1];
   struct sigaction action {};
   action.sa_handler = pass_on;
   action.sa_flags = SA_RESTART;
@@ -44,7 +44,9 @@
   for (int number : {SIGTERM, SIGINT, SIGHUP}) signal(number, SIG_IGN);
   loop_.unwatch(read_end_, *this);
   close(read_end_);
-  close(write_end);
+  // Another pipe may have taken its place.
+  if (write_end == write_end_) write_end = -1;
+  close(write_end_);
 }
 
 void signal_pipe::on_ready(std::uint32_t) {
--- a/src/proxy/signal-pipe.h
+++ b/src/proxy/signal-pipe.h
@@ -24,6 +24,7 @@
   event_loop& loop_;
   handler taken_;
   int read_end_ = -1;
+  int write_end_ = -1;
 };
 
 }  // namespace toucanmux
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -64,13 +64,32 @@
     process->start();
   }
 
-  void beat(const line_database& database) {
+  void beat(const line_database& database) { beat(store, database); }
+  void beat(object_port& at, const line_database& database) {
     auto entry = database.entry();
-    store.put("servers", entry.id.value,
-              R"({"service":"ledger","addr":")" + to_text(entry.address) +
-                  R"(","zone":"a","slots":3,"state":"ready","db_role":")" +
-                  (database.leads ? "primary" : "replica") + R"(","seq":)" +
-                  std::to_string(++sequence) + R"(,"born":1})");
+    at.put("servers", entry.id.value,
+           R"({"service":"ledger","addr":")" + to_text(entry.address) +
+               R"(","zone":"a","slots":3,"state":"ready","db_role":")" +
+               (database.leads ? "primary" : "replica") + R"(","seq":)" +
+               std::to_string(++sequence) + R"(,"born":1})");
+  }
+
+  /// A second instance of the same failure domain.
+  struct instance {
+    proxy_settings settings;
+    std::unique_ptr<proxy_process> process;
+  };
+  instance start_other(const inet_address& its_store) {
+    instance out;
+    out.settings = settings;
+    out.settings.self = member_id("edge-2");
+    out.settings.callers = free_address(loop);
+    out.settings.readiness = free_address(loop);
+    out.settings.peers = free_address(loop);
+    out.settings.store = out.settings.failover = its_store;
+    out.process = std::make_unique<proxy_process>(loop, out.settings, "");
+    out.process->start();
+    return out;
   }
 
   /// Turns the loop until a condition holds.
@@ -82,8 +101,10 @@
     auto end = boot_time() + length;
     until([&] { return boot_time() >= end; });
   }
-  bool ready() {
-    line_client probe(loop, settings.readiness);
+  bool ready() { return ready(settings.readiness); }
+  bool ready(const instance& other) { return ready(other.settings.readiness); }
+  bool ready(const inet_address& at) {
+    line_client probe(loop, at);
     probe.send("GET /readyz HTTP/1.1\r\n");
     until([&] { return probe.heard_anything() || probe.closed(); });
     return probe.first_line().find("200") != std::string::npos;
@@ -180,6 +201,48 @@
   BOOST_TEST(ready());
 }
 
+BOOST_AUTO_TEST_CASE(one_of_a_failure_domain_follows_discovery_for_all) {
+  auto other = start_other(store.address());
+  until([&] { return ready() && ready(other); });
+  pass(2500ms);  // Until each has heard which of them goes first.
+  auto watched = store.watches();
+  first.leads = false;
+  second.leads = true;
+  beat(second);
+  beat(first);
+  auto one = connect();
+  auto two = std::make_unique<line_client>(loop, other.settings.callers);
+  two->ask("CONNECT orders key-1");
+  until([&] { return begins(one->ask("QUERY 1 PUT 1a4 x"), "ROW"); });
+  until([&] { return begins(two->ask("QUERY 2 PUT 1a4 x"), "ROW"); });
+  BOOST_TEST(second.number == 102U);
+  // Each of the two changes ended one watch, and not two.
+  BOOST_TEST(store.watches() <= watched + 3);
+}
+
+// The two are told the same by stores of their own, and one loses its store.
+BOOST_AUTO_TEST_CASE(a_peer_vouches_for_the_keys_of_one_without_the_store) {
+  until([&] { return ready(); });
+  object_port copy(loop);
+  copy.put("config", "main", config_spec(3, "key-1"));
+  for (auto* database : {&first, &second, &third}) beat(copy, *database);
+  until([&] { return store.holds("toucanmux-members", "edge-1"); });
+  copy.put("toucanmux-members", "edge-1",
+           store.spec("toucanmux-members", "edge-1"));
+  auto other = start_other(copy.address());
+  until([&] { return ready(other); });
+  pass(2s);
+  copy.silent = true;
+  pass(settings.revoke_bound + 1s);
+  line_client caller(loop, other.settings.callers);
+  caller.ask("CONNECT orders key-1");
+  BOOST_TEST(begins(caller.ask("QUERY 1 PUT 1a4 x"), "ROW"));
+  // With the peer gone nobody vouches any more.
+  process.reset();
+  pass(settings.revoke_bound);
+  BOOST_TEST(begins(caller.ask("QUERY 2 PUT 1a4 x"), "ERR BUSY"));
+}
+
 BOOST_AUTO_TEST_CASE(a_leader_that_has_failed_is_replaced_by_the_furthest) {
   until([&] { return ready(); });
   auto caller = connect();
--- a/test/standin/proxy/object-port.cc
+++ b/test/standin/proxy/object-port.cc
@@ -95,6 +95,7 @@
     auto since = query_value(target, "watch");
     if (!since.empty()) {
       watched_ = kind;
+      ++port_.watches_;
       since_ = std::stoull(since);
       auto wait = std::stoll(query_value(target, "wait_ms"));
       port_.loop_.arm_in(wait_, std::chrono::milliseconds(wait));
--- a/test/standin/proxy/object-port.h
+++ b/test/standin/proxy/object-port.h
@@ -28,12 +28,17 @@
   void put(const std::string& kind, const std::string& name,
            const std::string& spec);
   void remove(const std::string& kind, const std::string& name);
+  bool holds(const std::string& kind, const std::string& name) const {
+    auto known = kinds_.find(kind);
+    return known != kinds_.end() && known->second.contains(name);
+  }
   std::string spec(const std::string& kind, const std::string& name) const;
   /// Drops what watches could still be told.
   void forget_history();
   /// The bodies of the failover calls so far.
   const std::vector<std::string>& failovers() const { return failovers_; }
   std::uint64_t calls() const { return calls_; }
+  std::uint64_t watches() const { return watches_; }
 
   bool silent = false;  ///< Reads, and answers nothing.
 
@@ -61,6 +66,7 @@
   std::list<std::unique_ptr<session>> sessions_;
   std::vector<std::string> failovers_;
   std::uint64_t calls_ = 0;
+  std::uint64_t watches_ = 0;
   tcp_listener listener_;
 };
 
