--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -27,9 +27,10 @@
 // noticed and a slow store still serves.
 constexpr duration call_limit = milliseconds(1200);
 // A watch comes back by then even if nothing changes; one that does not is
-// silent.
-constexpr duration watch_wait = seconds(6);
-constexpr duration watch_limit = seconds(8);
+// silent. A whole failure domain is blind until then, and has to hear of a
+// draining database well within the shortest bound, 7 s.
+constexpr duration watch_wait = seconds(3);
+constexpr duration watch_limit = seconds(4);
 // News of the reader take a millisecond; one datagram of them may be lost.
 constexpr duration news_late = milliseconds(500);
 // An instance makes sure so often that others find its record and that it has
