--- a/include/toucanmux/proxy/others-use.h
+++ b/include/toucanmux/proxy/others-use.h
@@ -42,7 +42,7 @@
   team_use own_at(std::uint32_t team, std::uint64_t echo) const;
   static void advance(counter& what, std::uint32_t fleet, std::uint32_t own);
 
-  std::deque<own_report> sent_;
+  std::deque<own_report> sent_;  ///< The newest first.
   std::map<std::uint32_t, team_count> teams_;
   std::uint64_t hub_ = 0;
   std::uint64_t first_echo_ = 0;
--- a/src/proxy/others-use.cc
+++ b/src/proxy/others-use.cc
@@ -1,7 +1,6 @@
 #include "toucanmux/proxy/others-use.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace toucanmux {
 
@@ -13,12 +12,12 @@
 }  // namespace
 
 void others_use::sent(std::uint64_t stamp, std::span<const team_use> own) {
-  sent_.push_back({stamp, {own.begin(), own.end()}});
-  if (sent_.size() > kept_reports) sent_.pop_front();
+  sent_.push_front({stamp, {own.begin(), own.end()}});
+  if (sent_.size() > kept_reports) sent_.pop_back();
 }
 
 team_use others_use::own_at(std::uint32_t team, std::uint64_t echo) const {
-  for (const auto& report : sent_ | std::views::reverse) {
+  for (const auto& report : sent_) {
     if (report.stamp > echo) continue;
     for (const auto& use : report.uses) {
       if (use.team == team) return use;
