--- a/src/proxy/http-port.cc
+++ b/src/proxy/http-port.cc
@@ -1,10 +1,11 @@
 #include "proxy/http-port.h"
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "proxy/let-go.h"
+
 namespace toucanmux {
 
 namespace {
@@ -47,7 +48,7 @@
   void on_closed() override {
     limit_.disarm();
     stream_.close();
-    port_.remove(*this);
+    let_go(port_.loop_, port_.clients_, *this);
   }
 
  private:
@@ -76,14 +77,4 @@
   clients_.push_back(std::make_unique<client>(*this, descriptor));
 }
 
-void http_port::remove(client& gone) {
-  auto at = std::find_if(clients_.begin(), clients_.end(),
-                         [&](const auto& item) { return item.get() == &gone; });
-  if (at == clients_.end()) return;
-  // It may be in the middle of its own call.
-  auto kept = std::make_shared<std::unique_ptr<client>>(std::move(*at));
-  clients_.erase(at);
-  loop_.defer([kept] {});
-}
-
 }  // namespace toucanmux
--- a/src/proxy/http-port.h
+++ b/src/proxy/http-port.h
@@ -33,7 +33,6 @@
   class client;
 
   void accept(int descriptor);
-  void remove(client& gone);
 
   event_loop& loop_;
   handler answer_;
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 
+#include "proxy/let-go.h"
 #include "proxy/signal-pipe.h"
 #include "toucanmux/error.h"
 
@@ -94,13 +95,8 @@
 }
 
 void proxy_process::on_session_ended(client_session& session) {
-  auto at =
-      std::find_if(sessions_.begin(), sessions_.end(),
-                   [&](const auto& item) { return item.get() == &session; });
-  if (at == sessions_.end()) return;
-  // Its stream may be in use, and its last answer goes out first.
-  loop_.defer([kept = std::move(*at)] {});
-  sessions_.erase(at);
+  // Its last answer goes out first.
+  let_go(loop_, sessions_, session);
 }
 
 probe_answer proxy_process::answer(std::string_view path) {
--- a/src/proxy/socket-address.h
+++ b/src/proxy/socket-address.h
@@ -15,4 +15,12 @@
   return out;
 }
 
+inline inet_address from_sockaddr(const sockaddr_in& address) {
+  return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
+}
+
+/// Closes a socket that can't use an address, and says why.
+/// @throws platform_error always.
+[[noreturn]] void refuse_address(int descriptor, const inet_address& at);
+
 }  // namespace toucanmux
--- a/src/proxy/tcp-listener.cc
+++ b/src/proxy/tcp-listener.cc
@@ -4,11 +4,9 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstring>
 
 #include "proxy/socket-address.h"
 #include "proxy/tcp-stream.h"
-#include "toucanmux/error.h"
 
 namespace toucanmux {
 
@@ -34,12 +32,7 @@
   bool bound = bind(descriptor_, reinterpret_cast<sockaddr*>(&address),
                     sizeof(address)) == 0 &&
                listen(descriptor_, backlog) == 0;
-  if (!bound) {
-    std::string why = std::strerror(errno);
-    close(descriptor_);
-    throw platform_error(to_text(at) + ": " + why +
-                         ": name a free address of this machine");
-  }
+  if (!bound) refuse_address(descriptor_, at);
   loop_.watch(descriptor_, *this, false);
 }
 
@@ -52,7 +45,7 @@
   sockaddr_in out{};
   socklen_t size = sizeof(out);
   getsockname(descriptor_, reinterpret_cast<sockaddr*>(&out), &size);
-  return {ntohl(out.sin_addr.s_addr), ntohs(out.sin_port)};
+  return from_sockaddr(out);
 }
 
 void tcp_listener::on_ready(std::uint32_t) {
--- a/src/proxy/udp-port.cc
+++ b/src/proxy/udp-port.cc
@@ -4,11 +4,8 @@
 #include <unistd.h>
 
 #include <array>
-#include <cerrno>
-#include <cstring>
 
 #include "proxy/socket-address.h"
-#include "toucanmux/error.h"
 
 namespace toucanmux {
 
@@ -28,10 +25,7 @@
   auto address = to_sockaddr(at);
   if (bind(descriptor_, reinterpret_cast<sockaddr*>(&address),
            sizeof(address)) != 0) {
-    std::string why = std::strerror(errno);
-    close(descriptor_);
-    throw platform_error(to_text(at) + ": " + why +
-                         ": name a free address of this machine");
+    refuse_address(descriptor_, at);
   }
   loop_.watch(descriptor_, *this, false);
 }
@@ -57,7 +51,7 @@
                           reinterpret_cast<sockaddr*>(&from), &size);
     if (count < 0) return;
     received_({bytes.data(), static_cast<std::size_t>(count)},
-              {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)});
+              from_sockaddr(from));
   }
 }
 
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "proxy/journal.h"
+#include "proxy/let-go.h"
 #include "toucanmux/proxy/connection-share.h"
 
 namespace toucanmux {
@@ -432,10 +433,7 @@
 
 void upstream_group::on_link_ended(upstream_link& link) {
   upstream& up = *upstreams_[link.upstream()];
-  link_ptr keep(&link);
-  std::erase_if(up.links,
-                [&](const auto& item) { return item.get() == &link; });
-  loop_.defer([keep] {});  // Its stream may still be in use in this turn.
+  let_go(loop_, up.links, link);
   for (auto& next : questions_) {
     if (next->waits_for(link)) next->end({});
   }
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -10,6 +10,7 @@
 #include "proxy/udp-port.h"
 #include "standin/proxy/line-client.h"
 #include "standin/proxy/line-database.h"
+#include "standin/proxy/loopback.h"
 #include "standin/proxy/object-port.h"
 
 using namespace toucanmux;
@@ -18,13 +19,6 @@
 
 namespace {
 
-constexpr std::uint32_t loopback = 0x7f000001;
-
-/// A port that was free a moment ago.
-inet_address free_address(event_loop& loop) {
-  return tcp_listener(loop, {loopback, 0}, [](int) {}).address();
-}
-
 std::string config_spec(unsigned version, const std::string& key,
                         const std::string& database = "orders") {
   return "{\"version\":" + std::to_string(version) + R"(,"routes":[{"host":")" +
--- a/test/soak/fault-relay.cc
+++ b/test/soak/fault-relay.cc
@@ -1,12 +1,12 @@
 #include "soak/fault-relay.h"
 
-#include <algorithm>
+#include "proxy/let-go.h"
+#include "standin/proxy/loopback.h"
 
 namespace toucanmux::soak {
 
 namespace {
 
-constexpr std::uint32_t loopback = 0x7f000001;
 // What waits is looked at again after so long.
 constexpr duration look_again = std::chrono::milliseconds(20);
 
@@ -16,10 +16,7 @@
 class fault_relay::pair {
  public:
   pair(fault_relay& relay, int descriptor)
-      : relay_(relay),
-        near_(*this, true),
-        far_(*this, false),
-        timer_([this] { move(); }) {
+      : relay_(relay), near_(*this), far_(*this), timer_([this] { move(); }) {
     near_.stream.adopt(descriptor);
     if (!far_.stream.connect(relay.to_)) end();
   }
@@ -28,28 +25,26 @@
   void end() {
     near_.stream.close();
     far_.stream.close();
-    relay_.remove(*this);
+    let_go(relay_.loop_, relay_.pairs_, *this);
   }
 
  private:
   /// One end; hands what it reads to the pair.
   class side final : public stream_owner {
    public:
-    side(pair& both, bool near)
-        : stream(both.relay_.loop_, *this), both_(both), near_(near) {}
-    void on_input() override { both_.arrived(near_); }
+    explicit side(pair& both) : stream(both.relay_.loop_, *this), both_(both) {}
+    void on_input() override { both_.arrived(); }
     void on_closed() override { both_.end(); }
 
     tcp_stream stream;
 
    private:
     pair& both_;
-    bool near_;
   };
 
-  void arrived(bool) {
+  void arrived() {
     if (timer_.armed()) return;
-    relay_.loop_.arm_in(timer_, std::max(relay_.delay, duration{0}));
+    relay_.loop_.arm_in(timer_, relay_.delay);
   }
 
   void move() {
@@ -83,7 +78,7 @@
 fault_relay::fault_relay(event_loop& loop, const inet_address& to)
     : loop_(loop),
       to_(to),
-      listener_(loop, {loopback, 0},
+      listener_(loop, {standin::loopback, 0},
                 [this](int descriptor) { accept(descriptor); }) {}
 
 fault_relay::~fault_relay() = default;
@@ -92,16 +87,6 @@
   pairs_.push_back(std::make_unique<pair>(*this, descriptor));
 }
 
-void fault_relay::remove(pair& what) {
-  auto at = std::find_if(pairs_.begin(), pairs_.end(),
-                         [&](const auto& p) { return p.get() == &what; });
-  if (at == pairs_.end()) return;
-  // One of its streams may be in use in this turn.
-  auto kept = std::make_shared<std::unique_ptr<pair>>(std::move(*at));
-  pairs_.erase(at);
-  loop_.defer([kept] {});
-}
-
 void fault_relay::reset_all() {
   while (!pairs_.empty()) pairs_.front()->end();
 }
--- a/test/soak/fault-relay.h
+++ b/test/soak/fault-relay.h
@@ -32,7 +32,6 @@
   class pair;
 
   void accept(int descriptor);
-  void remove(pair& what);
 
   event_loop& loop_;
   inet_address to_;
--- a/test/soak/soak-world.cc
+++ b/test/soak/soak-world.cc
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <iostream>
 
+#include "standin/proxy/loopback.h"
+
 namespace toucanmux::soak {
 
 namespace {
@@ -11,7 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint32_t loopback = 0x7f000001;
 constexpr duration tick_interval = milliseconds(40);
 constexpr duration heartbeat = milliseconds(400);
 // A process that was told to end has this long, and the start of the next one
@@ -20,10 +21,6 @@
 // Far longer than any machine needs; a fleet that is not back then never is.
 constexpr duration longest_return = seconds(120);
 
-inet_address free_address(event_loop& loop) {
-  return tcp_listener(loop, {loopback, 0}, [](int) {}).address();
-}
-
 }  // namespace
 
 soak_world::soak_world(event_loop& loop, const soak_plan& plan)
@@ -49,9 +46,9 @@
 
 void soak_world::add_instance(int number) {
   instance out;
-  out.callers = free_address(loop_);
-  out.readiness = free_address(loop_);
-  out.peers = free_address(loop_);
+  out.callers = standin::free_address(loop_);
+  out.readiness = standin::free_address(loop_);
+  out.peers = standin::free_address(loop_);
   out.store = std::make_unique<fault_relay>(loop_, store_.address());
   auto name = std::to_string(number);
   std::ofstream file(plan_.folder + "/instance-" + name + ".toml");
--- a/test/soak/soak-world.h
+++ b/test/soak/soak-world.h
@@ -28,7 +28,6 @@
   struct database {
     std::unique_ptr<standin::line_database> server;
     std::unique_ptr<fault_relay> relay;
-    bool draining = false;
   };
   struct instance {
     inet_address callers;
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -1,8 +1,10 @@
 #include "standin/proxy/line-database.h"
 
-#include <algorithm>
 #include <map>
 
+#include "proxy/let-go.h"
+#include "standin/proxy/loopback.h"
+
 namespace toucanmux::standin {
 
 namespace {
@@ -14,8 +16,6 @@
   return word;
 }
 
-constexpr std::uint32_t loopback = 0x7f000001;
-
 }  // namespace
 
 class line_database::session final : public stream_owner {
@@ -39,13 +39,7 @@
   void on_closed() override { end(); }
   void end() {
     stream_.close();
-    auto& all = database_.sessions_;
-    auto at = std::find_if(all.begin(), all.end(),
-                           [&](const auto& s) { return s.get() == this; });
-    if (at == all.end()) return;
-    auto kept = std::make_shared<std::unique_ptr<session>>(std::move(*at));
-    all.erase(at);
-    database_.loop_.defer([kept] {});
+    let_go(database_.loop_, database_.sessions_, *this);
   }
 
  private:
--- /dev/null
+++ b/test/standin/proxy/loopback.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "proxy/tcp-listener.h"
+
+namespace toucanmux::standin {
+
+/// 127.0.0.1 in host byte order.
+inline constexpr std::uint32_t loopback = 0x7f000001;
+
+/// An address that was free a moment ago.
+inline inet_address free_address(event_loop& loop) {
+  return tcp_listener(loop, {loopback, 0}, [](int) {}).address();
+}
+
+}  // namespace toucanmux::standin
--- a/test/standin/proxy/object-port.cc
+++ b/test/standin/proxy/object-port.cc
@@ -1,18 +1,19 @@
 #include "standin/proxy/object-port.h"
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <nlohmann/json.hpp>
 
+#include "proxy/let-go.h"
+#include "standin/proxy/loopback.h"
+
 namespace toucanmux::standin {
 
 namespace {
 
 namespace http = boost::beast::http;
 using nlohmann::json;
-constexpr std::uint32_t loopback = 0x7f000001;
 
 std::string query_value(const std::string& target, const std::string& name) {
   auto at = target.find(name + '=');
@@ -50,13 +51,7 @@
   }
   void on_closed() override {
     wait_.disarm();
-    auto& all = port_.sessions_;
-    auto at = std::find_if(all.begin(), all.end(),
-                           [&](const auto& s) { return s.get() == this; });
-    if (at == all.end()) return;
-    auto kept = std::make_shared<std::unique_ptr<session>>(std::move(*at));
-    all.erase(at);
-    port_.loop_.defer([kept] {});
+    let_go(port_.loop_, port_.sessions_, *this);
   }
 
   /// Answers a watch that waits, if there is news for it.
--- a/test/standin/proxy/session-fixture.cc
+++ b/test/standin/proxy/session-fixture.cc
@@ -1,6 +1,7 @@
 #include "standin/proxy/session-fixture.h"
 
-#include <algorithm>
+#include "proxy/let-go.h"
+#include "standin/proxy/loopback.h"
 
 namespace toucanmux::standin {
 
@@ -9,7 +10,6 @@
 using namespace std::chrono_literals;
 
 const group_id ledger("ledger");
-constexpr std::uint32_t loopback = 0x7f000001;
 
 route make_route(const std::string& name, route_kind kind) {
   route out;
@@ -96,11 +96,7 @@
 }
 
 void session_fixture::on_session_ended(client_session& session) {
-  auto at = std::find_if(sessions_.begin(), sessions_.end(),
-                         [&](const auto& s) { return s.get() == &session; });
-  if (at == sessions_.end()) return;
-  loop.defer([kept = std::move(*at)] {});
-  sessions_.erase(at);
+  let_go(loop, sessions_, session);
 }
 
 }  // namespace toucanmux::standin
