--- a/include/toucanmux/proxy/leader-watch.h
+++ b/include/toucanmux/proxy/leader-watch.h
@@ -57,9 +57,7 @@
   group_sighting sighting(instant now, const group_id& group) const;
   bool failing() const { return failing_since_.has_value(); }
   /// This instance or a peer finds the leader failing.
-  bool disputed(instant now) const {
-    return failing() || !failing_with(now).empty();
-  }
+  bool disputed(instant now) const;
 
  private:
   struct seen {
@@ -71,6 +69,7 @@
     std::optional<std::uint64_t> sequence;
   };
 
+  bool counts(instant now, const seen& what) const;
   bool peers_agree(instant now, std::size_t members) const;
   bool most_are_cut_off(instant now, std::size_t members) const;
 
--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -47,8 +47,7 @@
   };
 
   rate_ledger() : rate_ledger(settings()) {}
-  explicit rate_ledger(const settings& values)
-      : settings_(values), silent_after_(values.silent_after) {}
+  explicit rate_ledger(const settings& values) : settings_(values) {}
 
   ~rate_ledger() = default;
   rate_ledger(const rate_ledger&) = delete;
@@ -59,9 +58,6 @@
   /// Takes the plans in force. What a new team has used before is unknown: it
   /// starts with a part of its burst, until a peer tells more.
   void configure(instant now, std::span<const team_plan> plans);
-  /// Reports of one peer may come so far apart that only longer silence says
-  /// anything.
-  void expect_reports_every(duration interval);
   /// A peer that exists, heard or not.
   /// @param weight how many instances its reports stand for.
   /// @param near it belongs to this instance's failure domain.
@@ -112,10 +108,18 @@
     double fresh_admitted = 0;
     double fresh_wanted = 0;
 
-    void start_measure(instant now) {
-      measured = now;
-      fresh_admitted = fresh_wanted = 0;
-    }
+    /// Counts for another process from now on.
+    void restart(instant now, std::uint64_t process);
+    void start_measure(instant now);
+    /// Takes the rates of the time since the last start, if it was long enough.
+    void measure(instant now);
+  };
+  /// What holds for all that one report names.
+  struct report_head {
+    instant now;
+    std::uint64_t incarnation = 0;
+    bool settled = false;
+    bool reserved = false;  ///< A share was kept for what it has admitted.
   };
   struct peer_account {
     std::uint64_t incarnation = 0;
@@ -157,14 +161,15 @@
   static void count(account& team, bool near, std::int32_t admitted,
                     std::int32_t wanted);
   static team_use describe(const account& team, scope whose);
-  double even_share(std::uint32_t team);
-  void adopt(instant now, const team_use& use);
-  void spend(instant now, std::uint32_t team, double count);
+  void take_use(const report_head& head, peer_account& from,
+                const team_use& use);
+  void adopt(instant now, account& team, double level);
+  static void spend(account& team, double count);
   void refresh(instant now);
   duration next_token(const account& team) const;
   static double allowance(const account& team);
   static bool near_limit(const account& team);
-  void refresh_account(account& team);
+  void refresh_account(account& team, double members);
   void settle_silence(instant now);
   void reserve_share(peer_account& silent) const;
   void advance(instant now, account& team) const;
@@ -173,7 +178,6 @@
   std::map<team_id, account> accounts_;
   std::unordered_map<std::uint32_t, account*> by_key_;  ///< Into `accounts_`.
   std::map<member_id, peer_account> peers_;
-  duration silent_after_;
   instant refreshed_;
   instant started_;
   bool heard_settled_ = false;
--- a/src/proxy/leader-watch.cc
+++ b/src/proxy/leader-watch.cc
@@ -79,25 +79,33 @@
           1};
 }
 
+// A sighting that is recent and of the present leader.
+bool leader_watch::counts(instant now, const seen& what) const {
+  return now - what.at < settings_.sighting_lasts &&
+         what.what.leader == short_hash(leader_.value);
+}
+
+bool leader_watch::disputed(instant now) const {
+  return failing() ||
+         std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+           return item.second.what.failing && counts(now, item.second);
+         });
+}
+
 std::vector<member_id> leader_watch::failing_with(instant now) const {
   std::vector<member_id> out;
-  auto own = short_hash(leader_.value);
   for (const auto& [id, peer] : peers_) {
-    bool counts = now - peer.at < settings_.sighting_lasts &&
-                  peer.what.leader == own && peer.what.failing;
-    if (counts) out.push_back(id);
+    if (peer.what.failing && counts(now, peer)) out.push_back(id);
   }
   return out;
 }
 
 bool leader_watch::peers_agree(instant now, std::size_t members) const {
   if (members <= 1) return true;
-  auto own = short_hash(leader_.value);
   std::size_t failing = 0;
   std::size_t reached = 0;
   for (const auto& [id, peer] : peers_) {
-    if (now - peer.at >= settings_.sighting_lasts) continue;
-    if (peer.what.leader != own) continue;
+    if (!counts(now, peer)) continue;
     auto answered = peer.at - std::chrono::milliseconds(peer.what.answered_ms);
     if (peer.what.failing) {
       ++failing;
@@ -112,8 +120,10 @@
 bool leader_watch::most_are_cut_off(instant now, std::size_t members) const {
   if (now - *failing_since_ < settings_.cut_off_after) return false;
   std::size_t failing = 1;
-  for (const auto& id : failing_with(now)) {
-    failing += peers_.at(id).what.speaks_for;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.what.failing && counts(now, peer)) {
+      failing += peer.what.speaks_for;
+    }
   }
   return failing * 3 >= members * 2;
 }
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -128,10 +128,8 @@
 void peer_service::take_sightings(const peer& from, const peer_report& report) {
   instant now = state_.loop.now();
   for (const auto& sighting : report.sightings.items) {
-    for (auto& [name, group] : state_.groups) {
-      if (short_hash(name.value) != sighting.group) continue;
-      group->watch().take_sighting(now, from.record.id, sighting);
-    }
+    auto* group = state_.find_group(sighting.group);
+    if (group) group->watch().take_sighting(now, from.record.id, sighting);
   }
 }
 
@@ -155,12 +153,11 @@
                                     const position_question& question) {
   position_answer out;
   out.echo = question.stamp;
-  for (const auto& [id, group] : state_.groups) {
-    const auto& wanted = question.groups.items;
-    auto hash = short_hash(id.value);
-    if (std::find(wanted.begin(), wanted.end(), hash) == wanted.end()) continue;
+  for (auto hash : question.groups.items) {
+    auto* group = state_.find_group(hash);
+    if (!group) continue;
     group->want_samples();
-    auto position = position_of(id, *group);
+    auto position = position_of(*group);
     if (position) out.positions.items.push_back(*position);
   }
   send(encode(peer_message(out)), 0, to);
@@ -174,10 +171,9 @@
   // Stamps of an earlier process prove nothing to this one.
   if (echo < incarnation_ || asked > state_.loop.now()) return;
   for (const auto& item : positions) {
-    for (auto& [name, group] : state_.groups) {
-      if (short_hash(name.value) != item.group) continue;
-      group->samples().note(asked - milliseconds(item.age_ms), item.position);
-    }
+    auto* group = state_.find_group(item.group);
+    if (!group) continue;
+    group->samples().note(asked - milliseconds(item.age_ms), item.position);
   }
 }
 
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -309,18 +309,16 @@
         std::clamp<std::int64_t>(age.count(), 0, 1'000'000));
   }
   bool mesh = peers_.own_role() == role::mesh;
+  auto near = domain ? peers_.size_of(now, state_.settings.domain) + 1 : 1;
   for (const auto& [id, group] : state_.groups) {
     auto position = shares_positions_ && !domain
-                        ? position_of(id, *group)
+                        ? position_of(*group)
                         : std::optional<group_position>();
     if (position) out.positions.items.push_back(*position);
     // Sightings matter only where somebody finds the leader failing.
     if (!mesh && !group->watch().disputed(now)) continue;
     auto sighting = group->watch().sighting(now, id);
-    if (domain) {
-      auto near = peers_.size_of(now, state_.settings.domain) + 1;
-      sighting.speaks_for = static_cast<std::uint16_t>(near);
-    }
+    if (domain) sighting.speaks_for = static_cast<std::uint16_t>(near);
     out.sightings.items.push_back(sighting);
   }
   if (what.whose != scope::self) {
@@ -442,10 +440,11 @@
 
 // Who probes the leaders where not everybody does: the domain's reader, or all
 // by turns if there are many groups.
-const peer* peer_service::prober_of(const group_id& group) const {
+const peer* peer_service::prober_of(const upstream_group& group,
+                                    const peer* reader) const {
   bool few = state_.groups.size() <= most_shared_groups;
-  if (few || near_members_.empty()) return peers_.reader(state_.loop.now());
-  auto turn = short_hash(group.value) % near_members_.size();
+  if (few || near_members_.empty()) return reader;
+  auto turn = group.hash() % near_members_.size();
   auto known = peers_.all().find(near_members_[turn]);
   return known != peers_.all().end() ? &known->second : nullptr;
 }
@@ -458,6 +457,7 @@
   bool mesh = peers_.own_role() == role::mesh;
   bool hub = peers_.own_role() == role::hub;
   bool few = state_.groups.size() <= most_shared_groups;
+  const peer* reader = peers_.reader(now);
   shares_positions_ = false;
   std::map<const peer*, position_question> questions;
   for (const auto& [id, group] : state_.groups) {
@@ -465,7 +465,7 @@
       group->set_probing(probing::own);
       continue;
     }
-    const peer* prober = prober_of(id);
+    const peer* prober = prober_of(*group, reader);
     if (few && !prober) {
       shares_positions_ = true;
       group->want_samples();
@@ -475,7 +475,7 @@
     group->set_probing(prober && !looks ? probing::none : probing::shared);
     if (!prober || !group->needs_samples()) continue;
     auto& asked = questions[prober].groups.items;
-    if (asked.size() < most_asked) asked.push_back(short_hash(id.value));
+    if (asked.size() < most_asked) asked.push_back(group->hash());
   }
   for (auto& [prober, question] : questions) {
     question.stamp = stamp_of(boot_time());
@@ -484,13 +484,13 @@
 }
 
 std::optional<group_position> peer_service::position_of(
-    const group_id& id, upstream_group& group) const {
+    upstream_group& group) const {
   auto newest = group.samples().newest();
   if (!newest) return {};
   auto age = std::chrono::ceil<milliseconds>(state_.loop.now() -
                                              group.samples().newest_time());
   if (age > position_samples::keep) return {};
-  return group_position{short_hash(id.value), *newest,
+  return group_position{group.hash(), *newest,
                         static_cast<std::uint32_t>(age.count())};
 }
 
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -96,11 +96,9 @@
   void change_role();
   void expect_peers();
   void note_members();
-  void share_probes();
   void choose_probers();
-  const peer* prober_of(const group_id& group) const;
-  std::optional<group_position> position_of(const group_id& id,
-                                            upstream_group& group) const;
+  const peer* prober_of(const upstream_group& group, const peer* reader) const;
+  std::optional<group_position> position_of(upstream_group& group) const;
   bool is_urgent() const;
   duration least_interval() const;
   void tick_mesh();
--- a/src/proxy/position-samples.cc
+++ b/src/proxy/position-samples.cc
@@ -1,5 +1,7 @@
 #include "toucanmux/proxy/position-samples.h"
 
+#include <algorithm>
+
 namespace toucanmux {
 
 void position_samples::note(instant asked, const log_position& position) {
@@ -21,10 +23,11 @@
 std::optional<log_position> position_samples::required(instant now,
                                                        duration max_age) const {
   instant earliest = now - max_age + margin;
-  for (const sample& entry : samples_) {
-    if (entry.asked >= earliest) return entry.position;
-  }
-  return {};
+  auto first = std::partition_point(
+      samples_.begin(), samples_.end(),
+      [&](const sample& entry) { return entry.asked < earliest; });
+  if (first == samples_.end()) return {};
+  return first->position;
 }
 
 std::optional<log_position> position_samples::newest() const {
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,14 @@
     return at != groups.end() ? at->second.get() : nullptr;
   }
 
+  /// By the low bits of the name's stable hash, as messages of peers have it.
+  upstream_group* find_group(std::uint32_t hash) const {
+    auto at = std::find_if(groups.begin(), groups.end(), [&](const auto& item) {
+      return item.second->hash() == hash;
+    });
+    return at != groups.end() ? at->second.get() : nullptr;
+  }
+
   event_loop& loop;
   proxy_settings settings;
   journal log;
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-// A datagram may be lost, and the next one be late.
-constexpr int missed_reports = 3;
 constexpr duration refresh_every = std::chrono::milliseconds(100);
 // Looking at all peers takes about 8 us a peer with 86 teams; so often it is a
 // thousandth of a core.
@@ -73,10 +71,6 @@
   return found != by_key_.end() ? found->second : nullptr;
 }
 
-void rate_ledger::expect_reports_every(duration interval) {
-  silent_after_ = std::max(settings_.silent_after, interval * missed_reports);
-}
-
 void rate_ledger::expect_peer(instant now, const member_id& peer, double weight,
                               bool near) {
   auto [at, fresh] = peers_.try_emplace(peer);
@@ -97,60 +91,8 @@
   if (begins) from.begun = false;
   // What a peer admits while it is silent was reserved for it.
   bool reserved = from.ever_heard && from.silent && !begins;
-  for (const auto& use : uses) {
-    peer_use& known = from.uses[use.team];
-    bool unseen = known.incarnation != incarnation;
-    bool first = unseen && !from.begun;
-    if (unseen) {
-      known.incarnation = incarnation;
-      known.admitted = known.wanted = 0;
-      known.reported = known.measured = now;
-    }
-    if (first) {
-      // Only a peer that is new itself has spent what nobody knows of.
-      known.admitted = settled ? use.admitted : 0;
-      known.wanted = settled ? use.wanted : 0;
-    }
-    // Counters may wrap; a step back is an older datagram.
-    auto admitted = static_cast<std::int32_t>(use.admitted - known.admitted);
-    auto wanted = static_cast<std::int32_t>(use.wanted - known.wanted);
-    if (admitted < 0 || wanted < 0) continue;
-    double since = seconds(now - known.reported);
-    // What was expected of the peer has been spent as the time passed.
-    double expected = first || reserved ? 0 : known.admit_rate * since;
-    double rate_before = from.ever_heard && !from.silent ? known.admit_rate : 0;
-    known.fresh_admitted += admitted;
-    known.fresh_wanted += wanted;
-    double measured = seconds(now - known.measured);
-    if (first) {
-      // Its rate is unknown yet: an even share. Of many instances it stays
-      // what it was though another one speaks for them.
-      bool goes_on = from.weight > 1 && known.demand > 0;
-      if (!goes_on) known.admit_rate = even_share(use.team) * from.weight;
-      known.start_measure(now);
-    } else if (measured >= seconds(shortest_measure)) {
-      known.admit_rate = known.fresh_admitted / measured;
-      known.demand +=
-          demand_weight * (known.fresh_wanted / measured - known.demand);
-      known.start_measure(now);
-    }
-    known.admitted = use.admitted;
-    known.wanted = use.wanted;
-    known.reported = now;
-    known.kept = use.kept_percent / 100.0;
-    if (first && settled) {
-      adopt(now, use);
-    } else if (!reserved) {
-      // A peer that is new as well has spent what it admitted so far.
-      spend(now, use.team, admitted - expected);
-    }
-    if (account* team = find(use.team)) {
-      advance(now, *team);
-      team->expected_rate += known.admit_rate - rate_before;
-      // Those who add these sums up have kept the reserved share as well.
-      if (!reserved) count(*team, from.near, admitted, wanted);
-    }
-  }
+  report_head head{now, incarnation, settled, reserved};
+  for (const auto& use : uses) take_use(head, from, use);
   from.begun = from.begun || whole;
   bool counted = from.ever_heard && !from.silent;
   from.incarnation = incarnation;
@@ -163,6 +105,75 @@
   if (!counted || now - refreshed_ >= refresh_interval()) refresh(now);
 }
 
+void rate_ledger::take_use(const report_head& head, peer_account& from,
+                           const team_use& use) {
+  instant now = head.now;
+  peer_use& known = from.uses[use.team];
+  bool unseen = known.incarnation != head.incarnation;
+  bool first = unseen && !from.begun;
+  if (unseen) known.restart(now, head.incarnation);
+  // Only a peer that is new itself has spent what nobody knows of.
+  if (first && head.settled) {
+    known.admitted = use.admitted;
+    known.wanted = use.wanted;
+  }
+  // Counters may wrap; a step back is an older datagram.
+  auto admitted = static_cast<std::int32_t>(use.admitted - known.admitted);
+  auto wanted = static_cast<std::int32_t>(use.wanted - known.wanted);
+  if (admitted < 0 || wanted < 0) return;
+  // What was expected of the peer has been spent as the time passed.
+  double expected = known.admit_rate * seconds(now - known.reported);
+  if (first || head.reserved) expected = 0;
+  double rate_before = from.ever_heard && !from.silent ? known.admit_rate : 0;
+  account* team = find(use.team);
+  known.fresh_admitted += admitted;
+  known.fresh_wanted += wanted;
+  if (first) {
+    // Its rate is unknown yet: an even share. Of many instances it stays what
+    // it was though another one speaks for them.
+    bool goes_on = from.weight > 1 && known.demand > 0;
+    double even = team ? team->rate / members() : 0;
+    if (!goes_on) known.admit_rate = even * from.weight;
+    known.start_measure(now);
+  } else {
+    known.measure(now);
+  }
+  known.admitted = use.admitted;
+  known.wanted = use.wanted;
+  known.reported = now;
+  known.kept = use.kept_percent / 100.0;
+  if (!team) return;
+  advance(now, *team);
+  if (first && head.settled) {
+    adopt(now, *team, use.level);
+  } else if (!head.reserved) {
+    // A peer that is new as well has spent what it admitted so far.
+    spend(*team, admitted - expected);
+  }
+  team->expected_rate += known.admit_rate - rate_before;
+  // Those who add these sums up have kept the reserved share as well.
+  if (!head.reserved) count(*team, from.near, admitted, wanted);
+}
+
+void rate_ledger::peer_use::restart(instant now, std::uint64_t process) {
+  incarnation = process;
+  admitted = wanted = 0;
+  reported = measured = now;
+}
+
+void rate_ledger::peer_use::start_measure(instant now) {
+  measured = now;
+  fresh_admitted = fresh_wanted = 0;
+}
+
+void rate_ledger::peer_use::measure(instant now) {
+  if (now - measured < shortest_measure) return;
+  double passed = seconds(now - measured);
+  admit_rate = fresh_admitted / passed;
+  demand += demand_weight * (fresh_wanted / passed - demand);
+  start_measure(now);
+}
+
 void rate_ledger::count(account& team, bool near, std::int32_t admitted,
                         std::int32_t wanted) {
   (near ? team.near_admitted : team.far_admitted) +=
@@ -188,27 +199,16 @@
 }
 
 // A new instance knows nothing of what was used before it came.
-void rate_ledger::adopt(instant now, const team_use& use) {
-  if (now - started_ > settings_.settle_after) return;
-  account* entry = find(use.team);
-  if (!entry || entry->told) return;
-  advance(now, *entry);
-  entry->level = std::min<double>(use.level, entry->burst);
-  entry->told = true;
+void rate_ledger::adopt(instant now, account& team, double level) {
+  if (now - started_ > settings_.settle_after || team.told) return;
+  team.level = std::min(level, team.burst);
+  team.told = true;
 }
 
-double rate_ledger::even_share(std::uint32_t team) {
-  const account* entry = find(team);
-  return entry ? entry->rate / members() : 0;
-}
-
-void rate_ledger::spend(instant now, std::uint32_t team, double count) {
-  account* entry = find(team);
-  if (!entry) return;
-  advance(now, *entry);
+void rate_ledger::spend(account& team, double count) {
   // What lies longer back than the bucket is deep matters no more.
-  double deepest = -deepest_debt * std::max(entry->burst, 1.0);
-  entry->level = std::clamp(entry->level - count, deepest, entry->burst);
+  double deepest = -deepest_debt * std::max(team.burst, 1.0);
+  team.level = std::clamp(team.level - count, deepest, team.burst);
 }
 
 rate_ledger::verdict rate_ledger::admit(instant now, const team_id& team) {
@@ -313,7 +313,8 @@
     }
   }
   settle_silence(now);
-  for (auto& [team, entry] : accounts_) refresh_account(entry);
+  double all = members();
+  for (auto& [team, entry] : accounts_) refresh_account(entry, all);
   refreshed_ = now;
 }
 
@@ -323,7 +324,7 @@
            now - item.second.heard > settings_.forget_after;
   });
   for (auto& [id, entry] : peers_) {
-    if (entry.silent || now - entry.heard <= silent_after_) continue;
+    if (entry.silent || now - entry.heard <= settings_.silent_after) continue;
     // Its reserved share stands for what it does from now on.
     for (auto& [team, use] : entry.uses) use.admit_rate = 0;
     reserve_share(entry);
@@ -352,17 +353,16 @@
   }
 }
 
-void rate_ledger::refresh_account(account& entry) {
+void rate_ledger::refresh_account(account& entry, double members) {
   entry.expected_rate = 0;
   entry.near_kept = 0;
   double far_kept = 0;
-  double all = members();
   double wanting = entry.demand + least_demand;
   for (const auto& [id, other] : peers_) {
     wanting += least_demand * other.weight;
     double& kept = other.near ? entry.near_kept : far_kept;
     if (!other.ever_heard) {
-      kept += other.weight / all;
+      kept += other.weight / members;
       continue;
     }
     auto use = other.uses.find(entry.key);
@@ -373,7 +373,7 @@
   }
   entry.available = std::max(1 - entry.near_kept - far_kept, 0.0);
   entry.part =
-      std::max((entry.demand + least_demand) / wanting, least_part / all);
+      std::max((entry.demand + least_demand) / wanting, least_part / members);
 }
 
 void rate_ledger::advance(instant now, account& entry) const {
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -71,8 +71,7 @@
 
 void upstream_group::probe_suspended(std::size_t index) {
   upstream& up = *upstreams_[index];
-  bool gone = up.removed && loop_.now() - *up.removed > removed_use;
-  if (!up.suspended || gone || loop_.now() < up.next_probe) return;
+  if (!up.suspended || is_gone(up) || loop_.now() < up.next_probe) return;
   if (upstream_link* idle = exchangeable(up)) {
     up.next_probe = loop_.now() + longest_retry;
     ++up.in_flight;
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -4,6 +4,7 @@
 
 #include "proxy/journal.h"
 #include "proxy/let-go.h"
+#include "toucanmux/hash.h"
 #include "toucanmux/proxy/connection-share.h"
 
 namespace toucanmux {
@@ -77,6 +78,7 @@
     : loop_(loop),
       log_(log),
       id_(id),
+      hash_(short_hash(id.value)),
       self_(self),
       domain_(domain),
       drain_bound_(drain_bound),
@@ -149,9 +151,13 @@
   }
 }
 
+bool upstream_group::is_gone(const upstream& what) const {
+  return what.removed && loop_.now() - *what.removed > removed_use;
+}
+
 bool upstream_group::usable(const upstream& what) const {
+  if (is_gone(what)) return false;
   instant now = loop_.now();
-  if (what.removed && now - *what.removed > removed_use) return false;
   if (what.draining && now - *what.draining > drain_bound_ - drain_margin) {
     return false;
   }
@@ -163,7 +169,7 @@
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     const upstream& up = *upstreams_[i];
     if (!up.entry.claims_lead || up.denied_lead) continue;
-    if (up.removed && loop_.now() - *up.removed > removed_use) continue;
+    if (is_gone(up)) continue;
     if (!best || upstreams_[*best]->lead_revision < up.lead_revision) best = i;
   }
   return best;
@@ -230,12 +236,12 @@
   ++up.behind_count;
 }
 
-upstream_candidate upstream_group::describe(std::size_t index,
+upstream_candidate upstream_group::describe(std::size_t index, bool leads,
                                             const link_request& request) const {
   upstream& up = *upstreams_[index];
   upstream_candidate out;
   out.index = index;
-  out.leader = leader_index() == index;
+  out.leader = leads;
   // A leaving replica gets nothing new; a leaving leader has no successor yet.
   out.usable = usable(up) && (!up.draining || out.leader);
   out.same_domain = up.entry.domain == domain_;
@@ -275,10 +281,11 @@
 }
 
 upstream_link* upstream_group::try_acquire(const link_request& request) {
+  auto leader = leader_index();
   std::vector<upstream_candidate> candidates;
   candidates.reserve(upstreams_.size());
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
-    candidates.push_back(describe(i, request));
+    candidates.push_back(describe(i, leader == i, request));
   }
   auto chosen = choose_upstream(candidates, request.need);
   if (!chosen) return nullptr;
@@ -334,7 +341,7 @@
   waiting_.insert(at, request);
 }
 
-std::size_t upstream_group::waiting_count() const {
+std::size_t upstream_group::waiting() const {
   return static_cast<std::size_t>(
       std::distance(waiting_.begin(), waiting_.end()));
 }
@@ -352,7 +359,7 @@
 waiting_line upstream_group::line(const upstream_need& need) const {
   auto leader = leader_index();
   waiting_line out;
-  out.ahead = waiting_count();
+  out.ahead = waiting();
   duration sum{0};
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     const upstream& up = *upstreams_[i];
@@ -410,14 +417,17 @@
   done({});
 }
 
+void upstream_group::note_alive(upstream& what) {
+  what.answered = loop_.now();
+  what.suspended = false;
+  what.failures = 0;
+}
+
 void upstream_group::on_link_ready(upstream_link& link) {
-  upstream& up = *upstreams_[link.upstream()];
-  up.failures = 0;
-  up.suspended = false;
-  up.answered = loop_.now();
+  note_alive(*upstreams_[link.upstream()]);
   for (auto& next : questions_) {
     if (!next->waits_for(link)) continue;
-    ++up.in_flight;
+    ++upstreams_[link.upstream()]->in_flight;
     next->start(link);
     return;
   }
@@ -456,9 +466,7 @@
                                     const link_answer& answer) {
   instant now = loop_.now();
   upstream& up = *upstreams_[link.upstream()];
-  up.answered = now;
-  up.suspended = false;
-  up.failures = 0;
+  note_alive(up);
   bool leads = leader_index() == link.upstream();
   if (leads) watch_.leader_answered(now);
   if (answer.position) up.term = std::max(up.term, answer.position->term);
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -36,6 +36,8 @@
   upstream_group& operator=(upstream_group&&) = delete;
 
   const group_id& id() const { return id_; }
+  /// The low bits of the name's stable hash.
+  std::uint32_t hash() const { return hash_; }
 
   void set_policy(const group_policy& policy) { policy_ = policy; }
   void set_members(std::shared_ptr<const std::vector<member_id>> members);
@@ -49,7 +51,7 @@
   /// Waits for a link; the request's line is left by destroying it or by
   /// `unlink`.
   void enqueue(link_request& request);
-  std::size_t waiting() const { return waiting_count(); }
+  std::size_t waiting() const;
   /// False if nothing can run the request for now, so that waiting is in vain.
   bool may_serve(const upstream_need& need) const;
   /// The line that a request would join now.
@@ -121,16 +123,17 @@
   void allow(upstream& what) const;
   place free_place(const database_id& id);
   std::optional<std::size_t> leader_index() const;
+  bool is_gone(const upstream& what) const;
   bool usable(const upstream& what) const;
+  void note_alive(upstream& what);
   void update_leader();
-  upstream_candidate describe(std::size_t index,
+  upstream_candidate describe(std::size_t index, bool leads,
                               const link_request& request) const;
   upstream_link* idle_link(upstream& on, const link_request& request) const;
   upstream_link* exchangeable(upstream& on) const;
   bool open_link(std::size_t index, const team_id& team);
   void start_open(std::size_t index, const link_request& request);
   bool is_opening(std::size_t index, const team_id& team) const;
-  std::size_t waiting_count() const;
   void serve();
   void find_silent();
   void suspend(upstream& what);
@@ -146,6 +149,7 @@
   event_loop& loop_;
   journal& log_;
   group_id id_;
+  std::uint32_t hash_;
   member_id self_;
   domain_id domain_;
   duration drain_bound_;
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -95,7 +95,6 @@
 std::string execute_text(std::string_view name, std::string_view arguments);
 void write_ask_status(std::string& out);
 void write_fence(std::string& out, std::uint64_t term);
-void write_resume(std::string& out);
 void write_step_down(std::string& out, std::uint64_t term);
 
 }  // namespace toucanmux::wire
