--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -24,7 +24,7 @@
   std::uint32_t domain = 0;  ///< The low bits of the name's stable hash.
   std::uint64_t stamp = 0;   ///< The sender's steady time in microseconds.
   std::uint64_t cycle = 0;   ///< The stamp of the first part.
-  /// In all parts together; 0 if not all teams are named.
+  bool all_teams = false;    ///< All that were used, in all parts together.
   std::uint32_t uses_in_all = 0;
   bool leaving = false;
   bool lacks_store = false;  ///< The sender does not reach the store.
@@ -46,10 +46,11 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(whose), CEREAL_NVP(head), CEREAL_NVP(domain),
-            CEREAL_NVP(stamp), CEREAL_NVP(cycle), CEREAL_NVP(uses_in_all),
-            CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
-            CEREAL_NVP(wants_reply), CEREAL_NVP(settled), CEREAL_NVP(capacity),
-            CEREAL_NVP(heard), CEREAL_NVP(known), CEREAL_NVP(upstream_revision),
+            CEREAL_NVP(stamp), CEREAL_NVP(cycle), CEREAL_NVP(all_teams),
+            CEREAL_NVP(uses_in_all), CEREAL_NVP(leaving),
+            CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
+            CEREAL_NVP(settled), CEREAL_NVP(capacity), CEREAL_NVP(heard),
+            CEREAL_NVP(known), CEREAL_NVP(upstream_revision),
             CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
             CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(positions),
             CEREAL_NVP(gone));
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -71,7 +71,7 @@
   if (entry.cycle != report.cycle) entry.uses = 0;
   entry.cycle = report.cycle;
   entry.uses += report.uses.items.size();
-  bool whole = report.uses_in_all != 0 && entry.uses >= report.uses_in_all;
+  bool whole = report.all_teams && entry.uses >= report.uses_in_all;
   if (!report.head) return {&entry, false, whole};
   entry.leaving = report.leaving;
   entry.lacks_store = report.lacks_store;
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -344,11 +344,8 @@
   parts out;
   report.cycle = next_stamp();
   report.stamp = report.cycle;
-  // A report without any use is whole as well.
-  if (what.all_teams) {
-    report.uses_in_all =
-        std::max<std::uint32_t>(static_cast<std::uint32_t>(uses.size()), 1);
-  }
+  report.all_teams = what.all_teams;
+  report.uses_in_all = static_cast<std::uint32_t>(uses.size());
   do {
     auto room = report_bytes - report.gone.items.size() * gone_bytes;
     next_positions.fill(report.positions.items, room);
--- a/test/peer-directory-test.cc
+++ b/test/peer-directory-test.cc
@@ -155,3 +155,26 @@
   all.known.update_role(all.now);
   BOOST_TEST((all.known.own_role() == role::member));
 }
+
+// A report of an instance that nobody has used yet never counted as whole; the
+// first use that it named later was then taken for known already.
+BOOST_AUTO_TEST_CASE(a_report_without_any_use_is_whole) {
+  fleet all(7);
+  peer_report report;
+  report.domain = short_hash(south.value);
+  report.stamp = report.cycle = 1;
+  auto hear = [&] {
+    return all.known.take(all.now, member_id("s1"), 1, {}, 0, report);
+  };
+  BOOST_TEST(!hear().whole);  // It names only the teams near their limit.
+  report.all_teams = true;
+  report.stamp = report.cycle = 2;
+  BOOST_TEST(hear().whole);
+  // Of two parts the second one makes it whole.
+  report.uses_in_all = 2;
+  report.uses.items = {{1, 2, 3, 4.0F}};
+  report.stamp = report.cycle = 3;
+  BOOST_TEST(!hear().whole);
+  report.stamp = 4;
+  BOOST_TEST(hear().whole);
+}
