--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -18,22 +18,18 @@
 
 team_plan plan_of(double rate, double burst) { return {team, rate, burst, {}}; }
 
-/// Several instances that report to each other, on one simulated clock.
-class fleet {
- public:
-  fleet(std::size_t count, team_plan plan, duration interval)
-      : plan_(std::move(plan)), interval_(interval), ledgers_(count) {
-    for (std::size_t i = 0; i < count; ++i) start(i);
-  }
+member_id name(std::size_t i) { return member_id("edge-" + std::to_string(i)); }
 
-  void start(std::size_t i) {
-    ledgers_[i] = rate_ledger();
-    ++incarnations_[i];
-    ledgers_[i].configure(now, std::span(&plan_, 1));
-    for (std::size_t j = 0; j < ledgers_.size(); ++j) {
-      if (j != i) ledgers_[i].expect_peer(now, name(j));
-    }
-  }
+/// Instances with a ledger each, on one simulated clock.
+class played_fleet {
+ public:
+  played_fleet(std::size_t count, duration look_interval)
+      : ledgers_(count), look_interval_(look_interval) {}
+  virtual ~played_fleet() = default;
+  played_fleet(const played_fleet&) = delete;
+  played_fleet(played_fleet&&) = delete;
+  played_fleet& operator=(const played_fleet&) = delete;
+  played_fleet& operator=(played_fleet&&) = delete;
 
   /// Asks for operations at every instance, `per_second` in all.
   void run(duration length, double per_second, std::mt19937& random) {
@@ -45,12 +41,11 @@
           std::chrono::duration<double>(gap(random)));
       while (report_due_ <= next) {
         now = report_due_;
-        report_due_ += 200ms;  // How often an instance looks.
+        report_due_ += look_interval_;
         report();
       }
       now = next;
-      auto at = std::min<std::size_t>(random() % (ledgers_.size() + 2),
-                                      ledgers_.size() - 1);
+      auto at = pick(random);
       ++asked;
       if (!ledgers_[at].admit(now, team).admitted) continue;
       ++admitted;
@@ -69,18 +64,53 @@
     return most;
   }
 
-  /// Instances below `cut` and the others do not hear each other.
-  std::size_t cut = 0;
   instant now{100s};
   std::size_t asked = 0;
   std::size_t admitted = 0;
 
+ protected:
+  /// The instance that the next operation comes to.
+  virtual std::size_t pick(std::mt19937& random) const = 0;
+  /// Instances look whether a report is due.
+  virtual void report() = 0;
+
+  std::vector<rate_ledger> ledgers_;
+
+ private:
+  duration look_interval_;
+  instant report_due_{100s};
+  std::vector<instant> times_;
+};
+
+/// Several instances that report to each other.
+class fleet final : public played_fleet {
+ public:
+  fleet(std::size_t count, team_plan plan, duration interval)
+      : played_fleet(count, 200ms),
+        plan_(std::move(plan)),
+        interval_(interval) {
+    for (std::size_t i = 0; i < count; ++i) start(i);
+  }
+
+  void start(std::size_t i) {
+    ledgers_[i] = rate_ledger();
+    ++incarnations_[i];
+    ledgers_[i].configure(now, std::span(&plan_, 1));
+    for (std::size_t j = 0; j < ledgers_.size(); ++j) {
+      if (j != i) ledgers_[i].expect_peer(now, name(j));
+    }
+  }
+
+  /// Instances below `cut` and the others do not hear each other.
+  std::size_t cut = 0;
+
  private:
-  static member_id name(std::size_t i) {
-    return member_id("edge-" + std::to_string(i));
+  std::size_t pick(std::mt19937& random) const override {
+    return std::min<std::size_t>(random() % (ledgers_.size() + 2),
+                                 ledgers_.size() - 1);
   }
 
-  void report() {
+  void report() override {
     for (std::size_t i = 0; i < ledgers_.size(); ++i) {
       bool due = now >= next_[i] || ledgers_[i].wants_report();
       if (!due) continue;
@@ -98,19 +128,18 @@
 
   team_plan plan_;
   duration interval_;
-  std::vector<rate_ledger> ledgers_;
   std::map<std::size_t, std::uint64_t> incarnations_;
-  instant report_due_{100s};
   std::map<std::size_t, instant> next_;
-  std::vector<instant> times_;
 };
 
 /// Failure domains whose instances report to one hub each; the hubs exchange
 /// sums and tell everybody what all have used.
-class hub_fleet {
+class hub_fleet final : public played_fleet {
  public:
   hub_fleet(std::size_t domains, std::size_t each, const team_plan& plan)
-      : each_(each), ledgers_(domains * each), others_(domains * each) {
+      : played_fleet(domains * each, 400ms),
+        each_(each),
+        others_(domains * each) {
     echoes_.resize(ledgers_.size());
     cut_off.resize(ledgers_.size());
     auto rest = static_cast<double>(ledgers_.size() - 1);
@@ -130,52 +159,18 @@
     }
   }
 
-  void run(duration length, double per_second, std::mt19937& random) {
-    auto end = now + length;
-    std::exponential_distribution<double> gap(per_second);
-    auto next = now;
-    while (now < end) {
-      next += std::chrono::duration_cast<duration>(
-          std::chrono::duration<double>(gap(random)));
-      while (report_due_ <= next) {
-        now = report_due_;
-        report_due_ += 400ms;
-        report();
-      }
-      now = next;
-      auto at = random() % ledgers_.size();
-      ++asked;
-      if (!ledgers_[at].admit(now, team).admitted) continue;
-      ++admitted;
-      times_.push_back(now);
-    }
-  }
-
-  std::size_t most_within(duration window) const {
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times_.size(); ++last) {
-      while (times_[last] - times_[first] >= window) ++first;
-      most = std::max(most, last - first + 1);
-    }
-    return most;
-  }
-
   /// Instances that nobody hears and that hear nobody.
   std::vector<bool> cut_off;
-  instant now{100s};
-  std::size_t asked = 0;
-  std::size_t admitted = 0;
 
  private:
   using scope = rate_ledger::scope;
 
   bool is_hub(std::size_t i) const { return i % each_ == 0; }
-  static member_id name(std::size_t i) {
-    return member_id("edge-" + std::to_string(i));
+  std::size_t pick(std::mt19937& random) const override {
+    return random() % ledgers_.size();
   }
 
-  void report() {
+  void report() override {
     ++stamp_;
     for (std::size_t i = 0; i < ledgers_.size(); ++i) {
       if (!is_hub(i)) tell_hub(i);
@@ -214,12 +209,9 @@
   }
 
   std::size_t each_;
-  std::vector<rate_ledger> ledgers_;
   std::vector<others_use> others_;
   std::vector<std::uint64_t> echoes_;
   std::uint64_t stamp_ = 0;
-  instant report_due_{100s};
-  std::vector<instant> times_;
 };
 
 // A hot team sends 7.5 times its usual, and its rate is 1.6 times the usual.
