--- a/src/proxy/connection-share.cc
+++ b/src/proxy/connection-share.cc
@@ -1,9 +1,8 @@
 #include "toucanmux/proxy/connection-share.h"
 
 #include <algorithm>
-#include <string>
 
-#include "toucanmux/hash.h"
+#include "toucanmux/process/rendezvous.h"
 
 namespace toucanmux {
 
@@ -23,10 +22,6 @@
   return max_connections - max_connections / spare_part;
 }
 
-std::uint64_t rank_hash(const member_id& member, std::string_view upstream) {
-  return stable_hash(member.value + '/' + std::string(upstream));
-}
-
 }  // namespace
 
 unsigned connection_share(const member_id& self,
@@ -37,12 +32,7 @@
   unsigned each = usable / count;
   unsigned rest = usable % count;
   if (rest == 0) return each;
-  auto own = rank_hash(self, upstream);
-  auto before = std::count_if(
-      members.begin(), members.end(), [&](const member_id& member) {
-        return member != self && rank_hash(member, upstream) < own;
-      });
-  return each + (static_cast<unsigned>(before) < rest ? 1 : 0);
+  return each + (owns(self, upstream, members, rest) ? 1 : 0);
 }
 
 connection_allowance allow_connections(const member_id& self,
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "toucanmux/hash.h"
+#include "toucanmux/process/rendezvous.h"
 
 namespace toucanmux {
 
@@ -102,14 +102,10 @@
       return std::find(see.begin(), see.end(), m) == see.end();
     });
   }
-  auto rank_of = [&](const member_id& member) {
-    return stable_hash(member.value + '/' + group.id().value);
-  };
-  auto own = rank_of(state_.settings.self);
-  auto before =
-      std::count_if(others.begin(), others.end(),
-                    [&](const member_id& m) { return rank_of(m) < own; });
-  return turn_gap * before;
+  others.push_back(state_.settings.self);
+  auto order = choose_owners(group.id().value, others, others.size());
+  auto own = std::find(order.begin(), order.end(), state_.settings.self);
+  return turn_gap * (own - order.begin());
 }
 
 void leader_service::start(upstream_group& group, watched& what, bool planned) {
