--- a/include/toucanmux/process/membership.h
+++ b/include/toucanmux/process/membership.h
@@ -190,6 +190,8 @@
   void probe_next();
   void contact_other_domain();
   void contact_seed();
+  const seed_address* choose_seed();
+  void seed_answered(seed_address seed);
 
   void send_ping(const member& to, std::uint64_t sequence);
   void ask_relays(const member_id& target, std::uint64_t sequence);
@@ -236,6 +238,9 @@
   std::vector<member_id> order_;  // Of the probes that are left in this round.
   std::map<member_id, instant> suspicions_;
   std::vector<seed_address> hints_;
+  std::vector<seed_address> unanswered_seeds_;
+  std::map<std::uint64_t, seed_address> asked_seeds_;  ///< By sequence.
+  int periods_ = 0;  ///< Since the start, while it is new.
   // Entries of other domains that asked lately; the table does not keep them.
   std::map<member_id, member> visitors_;
   std::uint64_t last_sequence_ = 0;
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t visitor_limit = 64;
 // A seed is asked now and then even later: it may lead over a healed cut.
 constexpr double seed_pings_per_second = 0.2;
+// A seed that has not answered by then is away; the usual rate is enough.
+constexpr int new_for_periods = 10;
 // Alone in silence, a member doubts its own connection first.
 constexpr int isolated_factor = 4;
 
@@ -39,7 +41,8 @@
       random_(values.random_seed),
       table_(values.self.domain),
       queue_(values.gossip_factor),
-      self_{values.self, 0} {
+      self_{values.self, 0},
+      unanswered_seeds_(values.seeds) {
   table_.take(now_, self_);
   queue_.push(self_.who.id);
 }
@@ -156,27 +159,43 @@
   if (peer != nullptr) send_ping(peer->known.who, ++last_sequence_);
 }
 
+// A member that has met only its own failure domain knows of no other one, so
+// a new member asks each seed once, whatever it has heard.
 void membership::contact_seed() {
+  periods_ = std::min(periods_ + 1, new_for_periods + 1);
+  bool is_new = periods_ <= new_for_periods && !unanswered_seeds_.empty();
   double share = joined_ ? seed_pings_per_second * seconds(values_.period) /
                                static_cast<double>(table_.own().live.size())
                          : 1;
-  if (!chance(share)) return;
-  auto known = values_.seeds.size() + hints_.size();
-  if (known == 0) return;
-  auto chosen = pick(known);
-  const auto& seed = chosen < values_.seeds.size()
-                         ? values_.seeds[chosen]
-                         : hints_[chosen - values_.seeds.size()];
-  if (seed.address == self_.who.address &&
-      seed.port == self_.who.control_port) {
-    return;
+  if (!is_new && !chance(share)) return;
+  const auto* seed = is_new ? &unanswered_seeds_[pick(unanswered_seeds_.size())]
+                            : choose_seed();
+  if (seed == nullptr) return;
+  if (seed->address == self_.who.address &&
+      seed->port == self_.who.control_port) {
+    return seed_answered(*seed);
   }
   member to;
-  to.address = seed.address;
-  to.control_port = seed.port;
+  to.address = seed->address;
+  to.control_port = seed->port;
+  if (is_new) asked_seeds_[last_sequence_ + 1] = *seed;
   send_ping(to, ++last_sequence_);
 }
 
+const seed_address* membership::choose_seed() {
+  auto known = values_.seeds.size() + hints_.size();
+  if (known == 0) return nullptr;
+  auto chosen = pick(known);
+  if (chosen < values_.seeds.size()) return &values_.seeds[chosen];
+  return &hints_[chosen - values_.seeds.size()];
+}
+
+void membership::seed_answered(seed_address seed) {
+  std::erase_if(unanswered_seeds_, [&](const seed_address& one) {
+    return one.address == seed.address && one.port == seed.port;
+  });
+}
+
 void membership::send_ping(const member& to, std::uint64_t sequence) {
   ping message;
   message.sequence = sequence;
@@ -270,6 +289,8 @@
     tell_peer_digest(got.from, message.digest);
   }
   answered(message.about);
+  auto asked = asked_seeds_.extract(message.sequence);
+  if (!asked.empty()) seed_answered(asked.mapped());
   auto it = probes_.find(message.sequence);
   if (it == probes_.end() || it->second.target != message.about) return;
   probe done = std::move(it->second);
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -48,6 +48,19 @@
   }
 }
 
+// An entry that has its lists serves after 5 s even if it lacks owners. In a
+// domain of two members each may hear only the other at first.
+BOOST_AUTO_TEST_CASE(small_fleets_agree_before_entries_stop_waiting) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    auto values = options(seed);
+    values.members = 6;
+    values.seeds = 6;
+    member_fleet fleet(values);
+    fleet.start_all();
+    BOOST_TEST(agrees_within(fleet, 5s), "seed " << seed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_killed_member_is_dropped_everywhere) {
   member_fleet fleet(options(4, 0.1));
   fleet.start_all();
