--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -7,6 +7,7 @@
 
 #include "proxy/http-caller.h"
 #include "toucanmux/proxy/fleet-config.h"
+#include "toucanmux/proxy/read-age.h"
 #include "toucanmux/proxy/takeover-messages.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
@@ -41,25 +42,25 @@
   std::uint64_t revision = 0;
 };
 
-http_call read_config();
+http_call read_config(read_age age);
 std::uint64_t object_revision(std::string_view body);
 /// @throws list_error that names what is wrong.
 fleet_config parse_config(std::string_view body);
 
-http_call list_upstreams(std::string_view after);
+http_call list_upstreams(std::string_view after, read_age age);
 std::optional<upstream_page> parse_upstreams(std::string_view body);
 http_call watch_upstreams(std::uint64_t revision, duration wait);
 std::optional<upstream_events> parse_upstream_events(std::string_view body);
 http_call read_upstream(const database_id& id);
 std::optional<upstream_entry> parse_upstream(std::string_view body);
 
-/// @param may_be_stale an answer that is seconds old will do, and costs less.
-http_call list_members(std::string_view after, bool may_be_stale);
+http_call list_members(std::string_view after, read_age age);
 struct member_page {
   std::vector<member_record> members;
   std::string continue_after;
 };
 std::optional<member_page> parse_members(std::string_view body);
+std::optional<member_record> parse_member(std::string_view body);
 http_call create_member(const member_record& self);
 /// @param revision the one that the present record was read at.
 http_call replace_member(const member_record& self, std::uint64_t revision);
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -31,6 +31,9 @@
 // draining database well within the shortest bound, 7 s.
 constexpr duration watch_wait = seconds(3);
 constexpr duration watch_limit = seconds(4);
+// Until then most instances know whether another one follows the store for
+// them. The list has its revision, so no change is lost meanwhile.
+constexpr duration first_watch_after = seconds(1);
 // News of the reader take a millisecond; one datagram of them may be lost.
 constexpr duration news_late = milliseconds(500);
 // An instance makes sure so often that others find its record and that it has
@@ -51,26 +54,27 @@
       watcher_(state.loop, state.settings.store) {}
 
 void store_sync::start() {
-  read_config();
+  next_watch_ = state_.loop.now() + first_watch_after;
   tick();
 }
 
 void store_sync::tick() {
   instant now = state_.loop.now();
-  bool newer = peers_.config_is_newer_elsewhere();
-  bool due = !state_.proof.proven() || newer ||
-             state_.proof.age(now) >= read_interval();
-  if (due && !reading_ && now >= next_read_) read_config();
+  if (!reading_ && now >= next_read_) {
+    auto due = config_reads_.due(now, config_situation());
+    if (due) read_config(*due);
+  }
   if (revision_ == 0 && !listing_ && now >= next_list_) list_upstreams({});
   if (lags_behind_reader()) revision_ = 0;
   bool watches = peers_.reads_for_domain() && revision_ != 0 && !watching_;
   if (watches && now >= next_watch_) watch_upstreams();
   if (now < next_members_) return;
-  if (!registered_ && !registering_ && !listing_members_) register_self();
-  if (registered_ && !members_listed_ && !listing_members_) list_members({});
+  if (registering_ || listing_members_) return;
+  if (!members_listed_) return list_members({});
+  if (!registered_) return register_self();
   bool check = now >= next_check_ ||
                (peers_.lacks_records() && now >= next_check_ - unchecked_for);
-  if (members_listed_ && check) check_members();
+  if (check) check_members();
 }
 
 // Only the reader of the failure domain watches; a news of it may be lost.
@@ -113,25 +117,44 @@
                    reached ? "store_regained" : "store_lost", {{"call", call}});
 }
 
-void store_sync::read_config() {
+config_reads::situation store_sync::config_situation() const {
+  config_reads::situation out;
+  out.proven = state_.proof.proven();
+  out.proof_age = state_.proof.age(state_.loop.now());
+  out.interval = read_interval();
+  out.newer_elsewhere = peers_.config_is_newer_elsewhere();
+  out.peer_reads = !peers_.reads_for_domain();
+  return out;
+}
+
+void store_sync::read_config(read_age age) {
   reading_ = true;
   // A store that is away is asked less and less, down to once a second.
   auto wait = retry_interval * (1 + std::min(failures_, 2U));
   next_read_ = state_.loop.now() + wait;
-  store_.call(store_api::read_config(), call_limit,
-              [this](http_result&& result) { take_config(std::move(result)); });
+  store_.call(store_api::read_config(age), call_limit,
+              [this, age](http_result&& result) {
+                take_config(age, std::move(result));
+              });
 }
 
-void store_sync::take_config(http_result&& result) {
+void store_sync::take_config(read_age age, http_result&& result) {
   reading_ = false;
   bool good = result.answered && result.status == 200;
-  note_store(good || (result.answered && result.status == 404), "config");
+  bool absent = result.answered && result.status == 404;
+  note_store(good || absent, "config");
+  if (absent) config_reads_.absent();
   if (!good) return;
   if (result.body != last_body_) {
     apply(result.body);
     last_body_ = std::move(result.body);
   }
-  if (state_.config->version() != 0) state_.proof.prove(result.asked);
+  bool newer_elsewhere = peers_.config_is_newer_elsewhere();
+  config_reads_.found(state_.loop.now(), age, newer_elsewhere);
+  if (state_.config->version() == 0) return;
+  if (age == read_age::newest) return state_.proof.prove(result.asked);
+  // A read of the newest state follows at once where this one was not enough.
+  next_read_ = state_.loop.now();
 }
 
 void store_sync::apply(std::string_view body) {
@@ -177,7 +200,10 @@
   listing_ = true;
   next_list_ = state_.loop.now() + retry_interval;
   if (after.empty()) listed_.clear();
-  store_.call(store_api::list_upstreams(after), call_limit,
+  // Who follows the store hears of what an older state lacks; the others see
+  // that they lag behind it.
+  auto age = upstreams_known_ ? read_age::newest : read_age::seconds_old;
+  store_.call(store_api::list_upstreams(after, age), call_limit,
               [this](http_result&& result) { take_list(std::move(result)); });
 }
 
@@ -221,7 +247,6 @@
   listed_.clear();
   upstreams_known_ = true;
   note_change(newest);
-  if (peers_.reads_for_domain()) watch_upstreams();
 }
 
 void store_sync::note_change(std::uint64_t revision) {
@@ -327,44 +352,57 @@
   registering_ = true;
   next_members_ = state_.loop.now() + retry_interval;
   store_.call(
-      store_api::create_member({state_.settings.self, state_.settings.domain,
-                                state_.settings.peers}),
-      call_limit,
+      store_api::create_member(own_record()), call_limit,
       [this](http_result&& result) { take_registration(std::move(result)); });
 }
 
+store_api::member_record store_sync::own_record() const {
+  const auto& settings = state_.settings;
+  return {settings.self, settings.domain, settings.peers};
+}
+
 void store_sync::take_registration(http_result&& result) {
   registering_ = false;
   bool exists = result.answered && result.status == 409;
   bool good = result.answered && result.status / 100 == 2;
   note_store(good || exists, "register");
-  if (exists) {
-    // An earlier process of this name; its address may be another one.
-    auto revision = store_api::object_revision(result.body);
-    if (revision != 0) {
-      store_.call(store_api::replace_member(
-                      {state_.settings.self, state_.settings.domain,
-                       state_.settings.peers},
-                      revision),
-                  call_limit, [](http_result&&) {});
-    }
-  }
+  if (exists) replace_own_record(result.body);
   registered_ = good || exists;
-  if (registered_) list_members({});
+  if (!registered_) return;
+  members_age_ = read_age::newest;
+  list_members({});
+}
+
+// An earlier process of this name wrote it; its address may be another one.
+void store_sync::replace_own_record(std::string_view present) {
+  auto record = store_api::parse_member(present);
+  auto revision = store_api::object_revision(present);
+  if (revision == 0 || (record && is_own(*record))) return;
+  store_.call(store_api::replace_member(own_record(), revision), call_limit,
+              [](http_result&&) {});
+}
+
+bool store_sync::is_own(const store_api::member_record& record) const {
+  const auto& settings = state_.settings;
+  return record.id == settings.self && record.address == settings.peers &&
+         record.domain == settings.domain;
 }
 
 void store_sync::list_members(const std::string& after) {
-  if (after.empty()) recorded_.clear();
-  // What is some seconds old is good enough for a look now and then.
-  auto call = store_api::list_members(after, peers_known_);
+  if (after.empty()) {
+    recorded_.clear();
+    own_record_found_ = false;
+  }
   listing_members_ = true;
   next_members_ = state_.loop.now() + retry_interval;
-  store_.call(std::move(call), call_limit, [this](http_result&& result) {
-    take_members(std::move(result));
-  });
+  auto age = members_age_;
+  store_.call(store_api::list_members(after, age), call_limit,
+              [this, age](http_result&& result) {
+                take_members(age, std::move(result));
+              });
 }
 
-void store_sync::take_members(http_result&& result) {
+void store_sync::take_members(read_age age, http_result&& result) {
   listing_members_ = false;
   bool good = result.answered && result.status == 200;
   note_store(good, "members");
@@ -374,12 +412,15 @@
   for (const auto& member : page->members) {
     peers_.add(member);
     recorded_.insert(member.id);
+    own_record_found_ = own_record_found_ || is_own(member);
   }
   if (!page->continue_after.empty()) return list_members(page->continue_after);
-  registered_ = recorded_.contains(state_.settings.self);
+  members_age_ = read_age::seconds_old;
+  registered_ = own_record_found_;
   forget_unrecorded();
-  members_listed_ = peers_known_ = true;
+  members_listed_ = true;
   next_check_ = state_.loop.now() + check_interval;
+  if (!registered_ && age == read_age::seconds_old) register_self();
 }
 
 // Another instance has removed the records of those that are gone.
@@ -393,7 +434,6 @@
 // removed, and instances come that it does not hear of.
 void store_sync::check_members() {
   remove_silent();
-  registered_ = members_listed_ = false;
   list_members({});
 }
 
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -10,6 +10,7 @@
 #include "proxy/peer-service.h"
 #include "proxy/proxy-state.h"
 #include "proxy/store-api.h"
+#include "toucanmux/proxy/config-reads.h"
 
 namespace toucanmux {
 
@@ -34,8 +35,9 @@
   void look_at(const group_id& group, const database_id& id);
 
  private:
-  void read_config();
-  void take_config(http_result&& result);
+  void read_config(read_age age);
+  void take_config(read_age age, http_result&& result);
+  config_reads::situation config_situation() const;
   void apply(std::string_view body);
   void list_upstreams(const std::string& after);
   void take_list(http_result&& result);
@@ -49,8 +51,11 @@
   void remove(const database_id& id);
   void register_self();
   void take_registration(http_result&& result);
+  void replace_own_record(std::string_view present);
+  store_api::member_record own_record() const;
+  bool is_own(const store_api::member_record& record) const;
   void list_members(const std::string& after);
-  void take_members(http_result&& result);
+  void take_members(read_age age, http_result&& result);
   void check_members();
   void forget_unrecorded();
   void remove_silent();
@@ -61,6 +66,7 @@
   peer_service& peers_;
   http_caller store_;
   http_caller watcher_;
+  config_reads config_reads_;
   bool reading_ = false;
   instant next_read_;
   std::string last_body_;
@@ -77,9 +83,11 @@
   bool registered_ = false;
   bool registering_ = false;
   bool members_listed_ = false;
-  bool peers_known_ = false;  ///< They have been listed once.
+  /// A new record's owner has to see who registered just before it.
+  read_age members_age_ = read_age::seconds_old;
   bool listing_members_ = false;
-  std::set<member_id> recorded_;  ///< Found by the last listing.
+  std::set<member_id> recorded_;   ///< Found by the last listing.
+  bool own_record_found_ = false;  ///< By it, with this process's address.
   instant next_members_;
   instant next_check_;
   bool store_reached_ = true;
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -183,6 +183,48 @@
   BOOST_TEST(second.number == 101U);
 }
 
+// A restart of the whole fleet is the store's busiest moment.
+BOOST_AUTO_TEST_CASE(a_restarted_instance_writes_nothing) {
+  until([&] { return store.holds("toucanmux-members", "edge-1"); });
+  process.reset();
+  auto written = store.writes();
+  auto asked = store.calls();
+  process = std::make_unique<proxy_process>(loop, settings, "");
+  process->start();
+  until([&] { return ready() && store.calls() >= asked + 3; });
+  pass(500ms);
+  BOOST_TEST(store.writes() == written);
+  // Where another address is recorded it is replaced.
+  process.reset();
+  settings.peers = free_address(loop);
+  process = std::make_unique<proxy_process>(loop, settings, "");
+  process->start();
+  until([&] {
+    return store.spec("toucanmux-members", "edge-1")
+               .find(to_text(settings.peers)) != std::string::npos;
+  });
+}
+
+// The first list comes from a state in which another database leads; the
+// configuration there is an older one as well.
+BOOST_AUTO_TEST_CASE(what_an_older_state_lacks_is_learnt_soon) {
+  process.reset();
+  store.keep_old_state();
+  store.put("config", "main", config_spec(5, "key-2"));
+  first.leads = false;
+  second.leads = true;
+  beat(second);
+  beat(first);
+  process = std::make_unique<proxy_process>(loop, settings, "");
+  process->start();
+  until([&] { return ready(); });
+  line_client refused(loop, settings.callers);
+  BOOST_TEST(begins(refused.ask("CONNECT orders key-1"), "ERR NOAUTH"));
+  auto caller = connect("key-2");
+  until([&] { return begins(caller->ask("QUERY 2 PUT 1a4 x"), "ROW"); });
+  BOOST_TEST(second.number == 101U);
+}
+
 BOOST_AUTO_TEST_CASE(without_the_store_keys_run_out_and_come_back) {
   until([&] { return ready(); });
   auto caller = connect();
--- a/test/standin/proxy/object-port.cc
+++ b/test/standin/proxy/object-port.cc
@@ -81,12 +81,14 @@
     auto slash = path.find('/');
     auto kind = path.substr(0, slash);
     auto name = slash == std::string::npos ? "" : path.substr(slash + 1);
-    if (method == "GET" && name.empty()) return list(kind, target);
-    if (method == "GET") return read(kind, name);
+    bool old = port_.old_kinds_ && !query_value(target, "allow_stale").empty();
+    if (method == "GET" && name.empty()) return list(kind, target, old);
+    if (method == "GET") return read(kind, name, old);
+    ++port_.writes_;
     write(kind, name, json::parse(body));
   }
 
-  void list(const std::string& kind, const std::string& target) {
+  void list(const std::string& kind, const std::string& target, bool old) {
     auto since = query_value(target, "watch");
     if (!since.empty()) {
       watched_ = kind;
@@ -97,17 +99,20 @@
       return look();
     }
     json items = json::array();
-    for (const auto& [name, object] : port_.kinds_[kind]) {
+    for (const auto& [name, object] : state_of(old)[kind]) {
       items.push_back(json::parse(port_.body_of(name, object)));
     }
-    reply(200, json{{"items", items},
-                    {"more", false},
-                    {"store_revision", port_.revision_}}
-                   .dump());
+    reply(200,
+          json{{"items", items},
+               {"more", false},
+               {"store_revision", old ? port_.old_revision_ : port_.revision_}}
+              .dump());
   }
 
-  void read(const std::string& kind, const std::string& name) {
-    auto& all = port_.kinds_[kind];
+  state& state_of(bool old) { return old ? *port_.old_kinds_ : port_.kinds_; }
+
+  void read(const std::string& kind, const std::string& name, bool old) {
+    auto& all = state_of(old)[kind];
     auto at = all.find(name);
     if (at == all.end()) return reply(404, "{}");
     reply(200, port_.body_of(name, at->second));
--- a/test/standin/proxy/object-port.h
+++ b/test/standin/proxy/object-port.h
@@ -4,6 +4,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,12 @@
   const std::vector<std::string>& failovers() const { return failovers_; }
   std::uint64_t calls() const { return calls_; }
   std::uint64_t watches() const { return watches_; }
+  std::uint64_t writes() const { return writes_; }
+  /// Reads that may be served from an older state get this one from now on.
+  void keep_old_state() {
+    old_kinds_ = kinds_;
+    old_revision_ = revision_;
+  }
 
   bool silent = false;  ///< Reads, and answers nothing.
 
@@ -48,6 +55,7 @@
     std::string spec;
     std::uint64_t revision = 0;
   };
+  using state = std::map<std::string, std::map<std::string, object>>;
   struct change {
     std::string kind;
     std::string name;
@@ -61,12 +69,15 @@
   event_loop& loop_;
   std::uint64_t revision_ = 10;
   std::uint64_t oldest_ = 0;  ///< Changes up to it are forgotten.
-  std::map<std::string, std::map<std::string, object>> kinds_;
+  state kinds_;
+  std::optional<state> old_kinds_;
+  std::uint64_t old_revision_ = 0;
   std::vector<change> changes_;
   std::list<std::unique_ptr<session>> sessions_;
   std::vector<std::string> failovers_;
   std::uint64_t calls_ = 0;
   std::uint64_t watches_ = 0;
+  std::uint64_t writes_ = 0;
   tcp_listener listener_;
 };
 
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -101,7 +101,7 @@
 BOOST_AUTO_TEST_CASE(a_long_list_goes_on_after_its_last_name) {
   auto found = store_api::parse_upstreams(page(good_entry, true));
   BOOST_TEST(found->continue_after == "i-1");
-  BOOST_TEST(store_api::list_upstreams("i 1/").target ==
+  BOOST_TEST(store_api::list_upstreams("i 1/", read_age::newest).target ==
              "/objects/servers?after=i%201%2F");
 }
 
