--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -107,6 +107,7 @@
     double admit_rate = 0;  ///< Operations a second, last interval.
     double demand = 0;      ///< Operations a second, smoothed.
     double reserved = 0;    ///< Share kept while the peer is silent.
+    bool silent = false;    ///< Until the peer names the team again.
     double kept = 0;        ///< Share that the peer keeps for silent ones.
     instant reported;       ///< When the counters came.
     instant measured;       ///< Since when the two below are counted.
@@ -124,7 +125,6 @@
     instant now;
     std::uint64_t incarnation = 0;
     bool settled = false;
-    bool reserved = false;  ///< A share was kept for what it has admitted.
   };
   struct peer_account {
     std::uint64_t incarnation = 0;
@@ -168,6 +168,7 @@
   static void count(account& team, bool near, std::int32_t admitted,
                     std::int32_t wanted);
   static team_use describe(const account& team, scope whose);
+  static void end_silence(peer_account& from);
   void take_use(const report_head& head, peer_account& from,
                 const team_use& use);
   void adopt(instant now, account& team, double level);
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "toucanmux/hash.h"
 
@@ -94,10 +95,12 @@
   peer_account& from = peers_[id];
   bool begins = !from.ever_heard || from.incarnation != incarnation;
   if (begins) from.begun = false;
-  // What a peer admits while it is silent was reserved for it.
-  bool reserved = from.ever_heard && from.silent && !begins;
-  report_head head{now, incarnation, settled, reserved};
+  // Nothing was reserved for what a new process has admitted.
+  if (begins) end_silence(from);
+  report_head head{now, incarnation, settled};
   for (const auto& use : uses) take_use(head, from, use);
+  // Teams that are not named there were not used by the peer.
+  if (whole) end_silence(from);
   from.begun = from.begun || whole;
   bool counted = from.ever_heard && !from.silent;
   from.incarnation = incarnation;
@@ -110,6 +113,10 @@
   if (!counted || now - refreshed_ >= refresh_interval()) refresh(now);
 }
 
+void rate_ledger::end_silence(peer_account& from) {
+  for (auto& [team, use] : from.uses) use.silent = false;
+}
+
 void rate_ledger::take_use(const report_head& head, peer_account& from,
                            const team_use& use) {
   instant now = head.now;
@@ -126,9 +133,11 @@
   auto admitted = static_cast<std::int32_t>(use.admitted - known.admitted);
   auto wanted = static_cast<std::int32_t>(use.wanted - known.wanted);
   if (admitted < 0 || wanted < 0) return;
+  // What a peer admits of a team while it is silent was reserved for it.
+  bool reserved = std::exchange(known.silent, false);
   // What was expected of the peer has been spent as the time passed.
   double expected = known.admit_rate * seconds(now - known.reported);
-  if (first || head.reserved) expected = 0;
+  if (first || reserved) expected = 0;
   double rate_before = from.ever_heard && !from.silent ? known.admit_rate : 0;
   account* team = find(use.team);
   known.fresh_admitted += admitted;
@@ -151,13 +160,13 @@
   advance(now, *team);
   if (first && (head.settled || from.of_all)) {
     adopt(now, *team, use.level - team->recent);
-  } else if (!head.reserved) {
+  } else if (!reserved) {
     // A peer that is new as well has spent what it admitted so far.
     spend(*team, admitted - expected);
   }
   team->expected_rate += known.admit_rate - rate_before;
   // Those who add these sums up have kept the reserved share as well.
-  if (!head.reserved) count(*team, from.near, admitted, wanted);
+  if (!reserved) count(*team, from.near, admitted, wanted);
 }
 
 void rate_ledger::peer_use::restart(instant now, std::uint64_t process) {
@@ -345,8 +354,11 @@
   for (auto& [id, entry] : peers_) {
     if (entry.silent || now - entry.heard <= settings_.silent_after) continue;
     // Its reserved share stands for what it does from now on.
-    for (auto& [team, use] : entry.uses) use.admit_rate = 0;
     reserve_share(entry);
+    for (auto& [team, use] : entry.uses) {
+      use.admit_rate = 0;
+      use.silent = true;
+    }
     entry.silent = true;
   }
 }
@@ -359,8 +371,9 @@
     double reserved = 0;
     for (const auto& [id, other] : peers_) {
       auto use = other.uses.find(entry.key);
-      if (other.silent) {
-        reserved += use != other.uses.end() ? use->second.reserved : 0;
+      bool known = use != other.uses.end();
+      if (other.silent || (known && use->second.silent)) {
+        reserved += known ? use->second.reserved : 0;
         continue;
       }
       total += least_demand * other.weight;
@@ -387,8 +400,8 @@
     auto use = other.uses.find(entry.key);
     if (use == other.uses.end()) continue;
     wanting += use->second.demand;
-    kept += other.silent ? use->second.reserved : use->second.kept;
-    if (!other.silent) entry.expected_rate += use->second.admit_rate;
+    kept += use->second.silent ? use->second.reserved : use->second.kept;
+    if (!use->second.silent) entry.expected_rate += use->second.admit_rate;
   }
   entry.available = std::max(1 - entry.near_kept - far_kept, 0.0);
   entry.part =
--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -540,6 +540,42 @@
   BOOST_TEST(all.most_within(5s) <= bound(300, 300));
 }
 
+// The first datagram after a partition ended the silence for all teams. What
+// the peer had used of those in the next one, its reserved share, was taken
+// off once more: a failure domain that came back was refused for two seconds.
+BOOST_AUTO_TEST_CASE(a_silence_ends_for_each_team_by_itself) {
+  rate_ledger ledger;
+  team_id second("roofers");
+  team_id unused("surveyors");
+  std::vector<team_plan> plans{
+      plan_of(100, 100), {second, 100, 100, {}}, {unused, 100, 100, {}}};
+  instant now{1s};
+  ledger.configure(now, plans);
+  now += 20s;
+  team_use one{short_hash(team.value), 500, 500, 90.0F};
+  team_use two{short_hash(second.value), 500, 500, 90.0F};
+  member_id peer("b");
+  std::vector<team_use> both{one, two};
+  ledger.expect_peer(now, peer);
+  ledger.take_report(now, peer, 1, true, both);
+  ledger.take_report(now + 400ms, peer, 1, true, both);
+  now += 5s;
+  ledger.admit(now, team);  // Looks at who is silent.
+  one.admitted = one.wanted = two.admitted = two.wanted = 800;
+  ledger.take_report(now, peer, 1, true, std::span(&one, 1), false);
+  BOOST_TEST(ledger.admit(now, unused).available < 0.9);
+  ledger.take_report(now + 1ms, peer, 1, true, std::span(&two, 1), true);
+  BOOST_TEST(ledger.admit(now + 2ms, team).admitted);
+  BOOST_TEST(ledger.admit(now + 2ms, second).admitted);
+  BOOST_TEST(ledger.admit(now + 200ms, unused).available > 0.99);
+  // From then on it counts.
+  one.admitted = one.wanted = two.admitted = two.wanted = 950;
+  both = {one, two};
+  ledger.take_report(now + 400ms, peer, 1, true, both);
+  BOOST_TEST(!ledger.admit(now + 401ms, team).admitted);
+  BOOST_TEST(!ledger.admit(now + 401ms, second).admitted);
+}
+
 // A datagram of a hub's first report was lost; what all had ever used of its
 // teams was then taken for new use.
 BOOST_AUTO_TEST_CASE(a_lost_part_of_a_first_report_is_no_new_use) {
