--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -190,6 +190,7 @@
   return &hints_[chosen - values_.seeds.size()];
 }
 
+// Takes a copy: the seed may be an element of the list.
 void membership::seed_answered(seed_address seed) {
   std::erase_if(unanswered_seeds_, [&](const seed_address& one) {
     return one.address == seed.address && one.port == seed.port;
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -22,8 +22,8 @@
 // While a team is near its limit or a leader fails.
 constexpr duration urgent_near_interval = milliseconds(200);
 constexpr duration urgent_far_interval = milliseconds(400);
-// Sums of teams that are not near their limit are most of the bytes between
-// hubs; three times as long apart they cost wrongful refusals.
+// So often hubs tell each other of the teams that are not near their limit,
+// most of their bytes. Longer gaps refuse operations that are inside the rate.
 constexpr duration full_sums_interval = milliseconds(400);
 // Datagrams a second that reports may cost an instance; more peers hear from
 // it less often.
