--- a/include/toucanmux/proxy/leader-watch.h
+++ b/include/toucanmux/proxy/leader-watch.h
@@ -52,6 +52,8 @@
 
   /// @param members how many instances there are, this one included.
   verdict check(instant now, std::size_t members);
+  /// It fails here and at a peer, and no peer has reached it since.
+  bool unreached(instant now, std::size_t members) const;
   /// The peers that find the leader failing as well.
   std::vector<member_id> failing_with(instant now) const;
   group_sighting sighting(instant now, const group_id& group) const;
@@ -70,6 +72,12 @@
   };
 
   bool counts(instant now, const seen& what) const;
+  /// What peers have found since the leader failed here.
+  struct findings {
+    std::size_t failing = 0;
+    std::size_t reached = 0;
+  };
+  findings of_peers(instant now) const;
   bool peers_agree(instant now, std::size_t members) const;
   bool most_are_cut_off(instant now, std::size_t members) const;
 
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -5,6 +5,7 @@
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/bounded-list.h"
 #include "toucanmux/proxy/group-sighting.h"
+#include "toucanmux/proxy/lead-record.h"
 #include "toucanmux/proxy/position-messages.h"
 #include "toucanmux/proxy/team-use.h"
 
@@ -31,11 +32,16 @@
   bool wants_reply = false;
   bool settled = false;        ///< The levels in `uses` may be taken over.
   std::uint32_t capacity = 0;  ///< Thousandths of a core.
-  std::uint32_t heard = 0;     ///< Peers that a hub has heard a moment ago.
-  std::uint32_t known = 0;     ///< Peers that it knows of.
+  std::uint32_t known = 0;     ///< Peers that a hub knows of.
   std::uint64_t upstream_revision = 0;  ///< Of what it knows of discovery.
   std::uint64_t config_revision = 0;
   std::uint32_t config_age_ms = 0;  ///< Since the revision was proven.
+  std::uint64_t lead_digest = 0;    ///< Of all records of leaders.
+  std::uint32_t lead_age_ms = 0;    ///< Since they were proven.
+  /// Sum of the stable hashes of the names of all in a hub's failure domain
+  /// that know these records.
+  std::uint64_t lead_knowers = 0;
+  bounded_list<lead_record, 1024> leads;  ///< Those that are new.
   bounded_list<team_use, 1024> uses;
   bounded_list<group_sighting, 1024> sightings;
   /// Where the sender probes the leaders for others.
@@ -49,11 +55,12 @@
             CEREAL_NVP(stamp), CEREAL_NVP(cycle), CEREAL_NVP(all_teams),
             CEREAL_NVP(uses_in_all), CEREAL_NVP(leaving),
             CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
-            CEREAL_NVP(settled), CEREAL_NVP(capacity), CEREAL_NVP(heard),
-            CEREAL_NVP(known), CEREAL_NVP(upstream_revision),
-            CEREAL_NVP(config_revision), CEREAL_NVP(config_age_ms),
-            CEREAL_NVP(uses), CEREAL_NVP(sightings), CEREAL_NVP(positions),
-            CEREAL_NVP(gone));
+            CEREAL_NVP(settled), CEREAL_NVP(capacity), CEREAL_NVP(known),
+            CEREAL_NVP(upstream_revision), CEREAL_NVP(config_revision),
+            CEREAL_NVP(config_age_ms), CEREAL_NVP(lead_digest),
+            CEREAL_NVP(lead_age_ms), CEREAL_NVP(lead_knowers),
+            CEREAL_NVP(leads), CEREAL_NVP(uses), CEREAL_NVP(sightings),
+            CEREAL_NVP(positions), CEREAL_NVP(gone));
   }
 };
 
--- a/include/toucanmux/proxy/takeover-messages.h
+++ b/include/toucanmux/proxy/takeover-messages.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "toucanmux/core.h"
+#include "toucanmux/proxy/lead-record.h"
 
 namespace toucanmux {
 
@@ -13,12 +14,26 @@
   group_id group;
   database_id leader;      ///< The one to replace.
   bool planned = false;    ///< The leader still answers.
+  bool suspected = false;  ///< It may still turn out to live.
   std::uint64_t term = 0;  ///< Of the leader, as far as known.
   unsigned sync_replicas = 0;
   std::vector<database_id> candidates;
-  std::size_t replicas = 0;  ///< All replicas, candidates or not.
+  std::size_t replicas = 0;       ///< All replicas, candidates or not.
+  std::vector<member_id> active;  ///< Instances that were heard just now.
+  /// The group's record as this instance knows it, 0 for none, and since when.
+  std::uint64_t known_revision = 0;
+  instant known_since;
 };
 
+/// The leader that was suspected has failed.
+struct takeover_confirmed {};
+
+/// The leader answers again.
+struct takeover_withdrawn {};
+
+/// All instances have heard that the leases are revoked.
+struct leases_given_up {};
+
 /// The duty's object was read from the store.
 struct duty_read {
   bool reached = false;
@@ -27,6 +42,9 @@
   member_id holder;
   database_id replaces;
   std::uint64_t revision = 0;
+  lead_phase phase = lead_phase::settled;
+  database_id leader;
+  database_id order;  ///< An order for it may be open; empty for none.
 };
 
 enum class duty_outcome : std::uint8_t { taken, lost, unknown };
@@ -34,6 +52,7 @@
 /// The conditional write of the duty's object has ended.
 struct duty_written {
   duty_outcome outcome = duty_outcome::unknown;
+  std::uint64_t revision = 0;  ///< Of the object, if it was taken.
 };
 
 /// A database said where its log ends.
@@ -58,20 +77,25 @@
 
 struct takeover_tick {};
 
-using takeover_event = std::variant<takeover_start, duty_read, duty_written,
-                                    position_seen, leader_named, takeover_tick>;
+using takeover_event =
+    std::variant<takeover_start, takeover_confirmed, takeover_withdrawn,
+                 leases_given_up, duty_read, duty_written, position_seen,
+                 leader_named, takeover_tick>;
 
 struct read_duty {
   group_id group;
 };
 
-/// Take the duty, if its object is still as it was read.
+/// Write the duty's object, if it is still as it was read.
 struct write_duty {
   group_id group;
   std::uint64_t token = 0;
   member_id holder;
   database_id replaces;
   std::uint64_t revision = 0;  ///< 0 creates the object.
+  lead_phase phase = lead_phase::revoked;
+  database_id leader;
+  database_id order;  ///< An order for it may be open; empty for none.
 };
 
 /// Ask a database where its log ends.
@@ -103,7 +127,8 @@
   yielded,       ///< Another instance is at it.
   no_duty,       ///< The store gave no token.
   no_candidate,  ///< Too few databases answered.
-  not_named      ///< The order was refused or left without an answer.
+  not_named,     ///< The order was refused or left without an answer.
+  given_back     ///< The old leader leads on.
 };
 
 struct takeover_ended {
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -17,6 +17,8 @@
 // A change of leader takes about a second.
 constexpr duration leader_retry = milliseconds(400);
 constexpr duration overload_retry = milliseconds(100);
+// Proofs of the leaders come by reports; a look costs nothing else.
+constexpr duration held_check = milliseconds(50);
 // The least time in which a statement can still be answered.
 constexpr duration least_time = milliseconds(10);
 
@@ -50,14 +52,18 @@
   if (!key_still_holds()) {
     return fail_run(failure_kind::busy, "the key is not valid any more");
   }
-  // A commit as well: the other side may be about to replace the leader.
-  if (!reads_only() && !state_.may_write) {
-    return fail_run(failure_kind::busy, "cut off from the other instances",
-                    unproven_retry);
+  // A commit as well: another leader may have been named meanwhile.
+  if (!reads_only() && link_ && !leads(*link_)) {
+    return fail_run(failure_kind::busy, "the leader changes", leader_retry);
   }
   attempt();
 }
 
+bool client_session::leads(const upstream_link& link) const {
+  const upstream_group* group = state_.find_group(route_.group);
+  return group && group->leads(link.upstream());
+}
+
 bool client_session::reads_only() const {
   if (transaction_ == phase::none) return !run_.writes;
   return read_only_;
@@ -116,6 +122,9 @@
   if (!key_still_holds()) {
     return fail_run(failure_kind::busy, "the key is not valid any more");
   }
+  if (need.leader_only && !leads(link)) {
+    return retry_or_refuse("the leader changes");
+  }
   send(link);
 }
 
@@ -166,6 +175,10 @@
 void client_session::take_begun(upstream_link& link,
                                 const link_answer& answer) {
   if (!answer.ok) return fail(link, answer.error);
+  // What follows sees what was committed by now, so it counts from here on.
+  if (answer.step == link_step::begin && !leads(link)) {
+    return retry_or_refuse("the leader changes");
+  }
   link.send_statement(run_.id, {}, run_.after_begin);
   if (transaction_ == phase::none) link.send_rollback();
 }
@@ -177,17 +190,49 @@
   if (begins) return take_begun(link, answer);
   if (answer.step != link_step::statement) return;
   if (!answer.ok) return fail(link, answer.error);
+  if (keeps_data() && !leads(link)) return hold(link, answer);
   succeed(answer);
 }
 
+// Whether the statement that runs ends with data that is kept.
+bool client_session::keeps_data() const {
+  bool commit = run_.verb == statement_verb::commit;
+  return commit ? wrote_ : run_.writes && transaction_ == phase::none;
+}
+
+// It has run, but maybe at a leader that was replaced before. The next proof
+// of the leaders tells.
+void client_session::hold(const upstream_link& link,
+                          const link_answer& answer) {
+  run_.held.emplace(answer, link.upstream(), state_.loop.now());
+  log_attempt("the lead is not proven");
+  check_held();
+}
+
+void client_session::check_held() {
+  const held_answer& held = *run_.held;
+  const upstream_group* group = state_.find_group(route_.group);
+  auto led = group ? group->led_since(held.upstream, held.came)
+                   : std::optional<bool>(false);
+  if (led == true) {
+    held_answer sure = std::move(*run_.held);
+    run_.held.reset();
+    return succeed(sure.shown());
+  }
+  if (led == false || time_is_up()) {
+    return fail_run(failure_kind::outcome_unknown,
+                    "another leader was named meanwhile");
+  }
+  auto next = state_.loop.now() + held_check;
+  state_.loop.arm(timer_, std::min(next, run_.deadline - least_time));
+}
+
 void client_session::succeed(const link_answer& answer) {
   started_ = true;
   wrote_ = wrote_ || run_.writes;
   stream_.output().append(answer.rows).append(answer.end);
   bool commit = run_.verb == statement_verb::commit;
-  bool single = transaction_ == phase::none;
-  bool kept = commit ? wrote_ : single && run_.writes;
-  if (kept && answer.position) {
+  if (keeps_data() && answer.position) {
     own_commits_[route_.group] = *answer.position;
   }
   state_.retries.count_request(state_.loop.now());
@@ -266,6 +311,7 @@
   std::uint64_t bit = std::uint64_t{1} << (link.upstream() % 64);
   if (running_) note_lost(link);
   link_.reset();
+  if (running_ && run_.held) return;
   if (!running_) return break_transaction("the connection was lost");
   bool commit = run_.verb == statement_verb::commit;
   if (commit || (run_.writes && transaction_ == phase::none)) {
@@ -293,7 +339,7 @@
 }
 
 void client_session::on_link_silent(upstream_link& link) {
-  if (!running_ || !may_run_again() || need.leader_only) return;
+  if (!running_ || run_.held || !may_run_again() || need.leader_only) return;
   if (run_.attempts >= most_attempts || time_is_up()) return;
   try_elsewhere(link, "no answer yet");
 }
@@ -324,6 +370,7 @@
 void client_session::on_timer() {
   session_ptr keep(this);
   if (!opened_) return finish();
+  if (running_ && run_.held) return check_held();
   if (running_) return on_deadline();
   // The transaction has rested too long.
   break_transaction("the transaction rested too long");
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "proxy/held-answer.h"
 #include "proxy/link-request.h"
 #include "proxy/proxy-state.h"
 #include "proxy/statement.h"
@@ -73,6 +74,7 @@
     bool sent = false;
     bool hurried = false;     ///< Its second try is due before the deadline.
     std::string after_begin;  ///< Sent once the transaction has begun.
+    std::optional<held_answer> held;
   };
 
   struct refusal {
@@ -105,6 +107,10 @@
   bool reads_only() const;
   bool needs_leader() const;
 
+  bool keeps_data() const;
+  bool leads(const upstream_link& link) const;
+  void hold(const upstream_link& link, const link_answer& answer);
+  void check_held();
   void succeed(const link_answer& answer);
   void fail(upstream_link& link, wire::failure_kind kind);
   void fail_here(upstream_link& link, wire::failure_kind kind);
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "toucanmux/hash.h"
 #include "toucanmux/process/rendezvous.h"
 
 namespace toucanmux {
@@ -23,8 +24,16 @@
 // way.
 constexpr duration leaderless_limit = milliseconds(2500);
 
-constexpr std::array<std::string_view, 5> end_names{
-    "named", "yielded", "no_duty", "no_candidate", "not_named"};
+constexpr duration store_missed = milliseconds(1800);
+// Another instance that is heard gets so long for a change, and one that is
+// silent so long.
+constexpr duration change_limit = milliseconds(6000);
+constexpr duration silent_limit = milliseconds(1300);
+
+constexpr std::array<std::string_view, 6> end_names{
+    "named", "yielded", "no_duty", "no_candidate", "not_named", "given_back"};
+constexpr std::array<std::string_view, 5> cause_names{
+    "none", "suspected", "failed", "leaves", "leaderless"};
 
 }  // namespace
 
@@ -36,18 +45,20 @@
       failover_(state.loop, state.settings.failover) {}
 
 void leader_service::tick() {
+  takeover::settings values;
+  values.tokens_checked = state_.settings.tokens_checked;
   for (auto& [id, group] : state_.groups) {
-    auto [at, fresh] = groups_.try_emplace(id, state_.settings.self);
+    auto [at, fresh] = groups_.try_emplace(id, values, state_.settings.self);
     tick_group(*group, at->second);
   }
 }
 
 void leader_service::tick_group(upstream_group& group, watched& what) {
-  if (what.change.running()) return step(group.id(), takeover_tick{});
-  instant now = state_.loop.now();
-  bool planned = false;
   note_leader(group, what);
-  if (!change_is_due(group, what, planned) || state_.stopping) {
+  if (what.change.running()) return tick_change(group, what);
+  instant now = state_.loop.now();
+  auto why = due(group, what);
+  if (why == cause::none || state_.stopping) {
     what.wanted.reset();
     return;
   }
@@ -55,48 +66,82 @@
     what.wanted = now;
     state_.log.write(journal_event::belief, "leader_change_due",
                      {{"group", group.id().value},
-                      {"planned", planned},
+                      {"cause", cause_names[static_cast<std::size_t>(why)]},
                       {"leader", what.last ? what.last->value : ""}});
   }
   if (now < what.rest_until) return;
-  if (now - *what.wanted < turn_of_self(group, planned)) return;
-  start(group, what, planned);
+  if (now - *what.wanted < turn_of_self(group, why)) return;
+  start(group, what, why);
+}
+
+// While a suspected leader's leases run out its failure is looked into.
+void leader_service::tick_change(upstream_group& group, const watched& what) {
+  const auto& id = group.id();
+  if (auto leader = group.last_leader()) {
+    auto why = judge(group, *leader);
+    if (why == cause::failed) step(id, takeover_confirmed{});
+    if (why == cause::none && !group.watch().failing()) {
+      step(id, takeover_withdrawn{});
+    }
+  }
+  bool known = what.change.waits() && what.holders &&
+               peers_.all_know_leads(*what.holders);
+  if (known) step(id, leases_given_up{});
+  step(id, takeover_tick{});
 }
 
 void leader_service::note_leader(const upstream_group& group, watched& what) {
-  auto leader = group.leader();
-  if (leader) {
-    what.last = leader;
+  if (auto last = group.last_leader()) what.last = last;
+  if (group.has_leader()) {
     what.leaderless.reset();
   } else if (!what.leaderless) {
     what.leaderless = state_.loop.now();
   }
 }
 
-bool leader_service::change_is_due(upstream_group& group, watched& what,
-                                   bool& planned) {
-  if (!peers_.replaces_leaders()) return false;
-  instant now = state_.loop.now();
+leader_service::cause leader_service::due(upstream_group& group,
+                                          const watched& what) {
+  if (!peers_.replaces_leaders() || !what.last) return cause::none;
+  // Without the store there is no token; its calls would only hold up others.
+  if (state_.leases.age(state_.loop.now()) > store_missed) return cause::none;
+  if (another_is_at_it(group)) return cause::none;
   auto leader = group.leader();
   if (!leader) {
-    return what.last && now - *what.leaderless > leaderless_limit;
-  }
-  if (group.leader_leaves()) {
-    planned = true;
-    return true;
+    auto since =
+        std::max(*what.leaderless, state_.leases.known_since(group.hash()));
+    bool long_enough = state_.loop.now() - since > leaderless_limit;
+    return long_enough ? cause::leaderless : cause::none;
   }
+  if (group.leader_leaves()) return cause::leaves;
+  return judge(group, *leader);
+}
+
+leader_service::cause leader_service::judge(upstream_group& group,
+                                            const database_id& leader) {
+  instant now = state_.loop.now();
   auto verdict = group.watch().check(now, peers_.member_count());
+  if (verdict == leader_watch::verdict::failed) return cause::failed;
   if (verdict == leader_watch::verdict::look) {
-    store_.look_at(group.id(), *leader);
+    store_.look_at(group.id(), leader);
   }
-  return verdict == leader_watch::verdict::failed;
+  bool suspected = group.watch().unreached(now, peers_.member_count());
+  return suspected ? cause::suspected : cause::none;
+}
+
+// A holder that is silent may have ended in the middle of a change.
+bool leader_service::another_is_at_it(const upstream_group& group) const {
+  const lead_record* record = group.record();
+  if (!record || record->phase == lead_phase::settled) return false;
+  if (record->holder == short_hash(state_.settings.self.value)) return false;
+  auto since = state_.leases.known_since(group.hash());
+  auto limit = peers_.hears(record->holder) ? change_limit : silent_limit;
+  return state_.loop.now() - since < limit;
 }
 
 // Only those that see the need can act on it.
-duration leader_service::turn_of_self(upstream_group& group,
-                                      bool planned) const {
+duration leader_service::turn_of_self(upstream_group& group, cause why) const {
   auto others = peers_.replacers();
-  if (!planned && group.has_leader()) {
+  if (why == cause::suspected || why == cause::failed) {
     auto see = group.watch().failing_with(state_.loop.now());
     std::erase_if(others, [&](const member_id& m) {
       return std::find(see.begin(), see.end(), m) == see.end();
@@ -108,11 +153,18 @@
   return turn_gap * (own - order.begin());
 }
 
-void leader_service::start(upstream_group& group, watched& what, bool planned) {
+void leader_service::start(upstream_group& group, watched& what, cause why) {
   takeover_start goal;
+  bool planned = why == cause::leaves;
   goal.group = group.id();
   goal.leader = *what.last;
   goal.planned = planned;
+  goal.suspected = why == cause::suspected;
+  goal.active = peers_.active();
+  if (const lead_record* record = group.record()) {
+    goal.known_revision = record->revision;
+    goal.known_since = state_.leases.known_since(group.hash());
+  }
   goal.term = group.leader_term();
   const auto* policy = state_.config->find_group(group.id());
   goal.sync_replicas = policy ? policy->sync_replicas : 0;
@@ -128,7 +180,7 @@
   state_.log.write(journal_event::belief, "leader_change_begins",
                    {{"group", goal.group.value},
                     {"leader", goal.leader.value},
-                    {"planned", planned},
+                    {"cause", cause_names[static_cast<std::size_t>(why)]},
                     {"term", goal.term},
                     {"candidates", std::uint64_t{goal.candidates.size()}}});
   step(group.id(), goal);
@@ -188,10 +240,10 @@
   store_.store().call(store_api::write_duty(what), call_limit,
                       [this, what](http_result&& result) {
                         auto outcome = store_api::parse_duty_outcome(result);
-                        if (outcome == duty_outcome::unknown) {
+                        if (outcome.outcome == duty_outcome::unknown) {
                           return read_back(what);
                         }
-                        step(what.group, duty_written{outcome});
+                        take_written(what, outcome);
                       });
 }
 
@@ -199,13 +251,44 @@
 void leader_service::read_back(const write_duty& what) {
   store_.store().call(store_api::read_duty(what.group), call_limit,
                       [this, what](http_result&& result) {
-                        bool held = store_api::holds_duty(result, what);
-                        auto outcome =
-                            held ? duty_outcome::taken : duty_outcome::unknown;
-                        step(what.group, duty_written{outcome});
+                        take_written(what,
+                                     store_api::outcome_by_read(result, what));
                       });
 }
 
+// All others act on it from when they hear of it.
+void leader_service::take_written(const write_duty& what,
+                                  const duty_written& outcome) {
+  if (outcome.outcome == duty_outcome::taken) {
+    state_.leases.take(state_.loop.now(),
+                       store_api::record_of(what, outcome.revision));
+    peers_.announce();
+    if (what.phase == lead_phase::revoked) {
+      groups_.at(what.group).holders.reset();
+      list_holders(what.group);
+    }
+  }
+  step(what.group, outcome);
+}
+
+// An instance holds no lease before it is registered, so whoever may hold one
+// from before is listed now.
+void leader_service::list_holders(const group_id& id) {
+  store_.store().call(
+      store_api::list_members({}, read_age::newest), call_limit,
+      [this, id](http_result&& result) { take_holders(id, result); });
+}
+
+void leader_service::take_holders(const group_id& id,
+                                  const http_result& result) {
+  auto page = result.answered && result.status == 200
+                  ? store_api::parse_members(result.body)
+                  : std::nullopt;
+  // More than a page is not listed: the leases run out then.
+  if (!page || !page->continue_after.empty()) return;
+  groups_.at(id).holders = std::move(page->members);
+}
+
 void leader_service::name(const name_leader& what) {
   state_.log.write(journal_event::belief, "leader_named",
                    {{"group", what.group.value},
@@ -222,6 +305,7 @@
   watched& what = groups_.at(id);
   what.rest_until = state_.loop.now() +
                     (how == takeover_end::named ? after_naming : after_failure);
+  what.leaderless.reset();
   what.wanted.reset();
   state_.log.write(
       journal_event::belief, "leader_change_ended",
--- a/src/proxy/leader-watch.cc
+++ b/src/proxy/leader-watch.cc
@@ -100,21 +100,33 @@
   return out;
 }
 
-bool leader_watch::peers_agree(instant now, std::size_t members) const {
-  if (members <= 1) return true;
-  std::size_t failing = 0;
-  std::size_t reached = 0;
+leader_watch::findings leader_watch::of_peers(instant now) const {
+  findings out;
   for (const auto& [id, peer] : peers_) {
     if (!counts(now, peer)) continue;
     auto answered = peer.at - std::chrono::milliseconds(peer.what.answered_ms);
     if (peer.what.failing) {
-      ++failing;
+      ++out.failing;
     } else if (answered > *failing_since_) {
-      ++reached;
+      ++out.reached;
     }
   }
+  return out;
+}
+
+bool leader_watch::peers_agree(instant now, std::size_t members) const {
+  if (members <= 1) return true;
+  auto found = of_peers(now);
   // Peers that have not asked since know nothing of it.
-  return failing > 0 && failing >= reached;
+  return found.failing > 0 && found.failing >= found.reached;
+}
+
+bool leader_watch::unreached(instant now, std::size_t members) const {
+  if (!failing_since_) return false;
+  if (now - *failing_since_ < settings_.suspect_after) return false;
+  if (members <= 1) return true;
+  auto found = of_peers(now);
+  return found.failing > 0 && found.reached == 0;
 }
 
 bool leader_watch::most_are_cut_off(instant now, std::size_t members) const {
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -77,10 +77,11 @@
   entry.lacks_store = report.lacks_store;
   entry.is_hub = report.whose != peer_report::scope::self;
   entry.capacity = report.capacity;
-  entry.peers_heard = report.heard;
   entry.peers_known = report.known;
   entry.upstream_revision = report.upstream_revision;
   entry.config_revision = report.config_revision;
+  entry.lead_digest = report.lead_digest;
+  entry.lead_knowers = report.lead_knowers;
   take_gone(entry, report);
   return {&entry, fresh || restarted, whole};
 }
@@ -207,28 +208,42 @@
   return out;
 }
 
-std::size_t peer_directory::count_heard(instant now, duration age,
-                                        bool near_only) const {
-  auto count = std::count_if(peers_.begin(), peers_.end(), [&](const auto& p) {
-    return p.second.ever_heard && now - p.second.heard < age &&
-           (!near_only || is_near(p.second));
+std::uint64_t peer_directory::knowers(std::uint64_t digest) const {
+  std::uint64_t out = stable_hash(self_.value);
+  for (const auto& [id, entry] : peers_) {
+    bool knows = is_near(entry) && entry.lead_digest == digest;
+    if (knows) out += stable_hash(id.value);
+  }
+  return out;
+}
+
+bool peer_directory::hub_vouches(const domain_id& domain, std::uint64_t digest,
+                                 std::uint64_t sum) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    const peer& entry = p.second;
+    return entry.record.domain == domain && entry.is_hub &&
+           entry.lead_digest == digest && entry.lead_knowers == sum;
   });
-  return static_cast<std::size_t>(count);
 }
 
-// What a hub has heard has grown older on its way here.
-std::size_t peer_directory::heard_within(instant now, duration age) const {
-  if (role_ == role::mesh) return count_heard(now, age, false);
-  if (role_ == role::member) {
-    const peer* hub = reader(now);
-    return hub && now - hub->heard < age / 2 ? hub->peers_heard : 0;
-  }
-  std::size_t out = heard_near(now, age);
-  for (const auto& domain : other_domains()) {
-    const peer* hub = hub_of(now, domain);
-    if (hub && now - hub->heard < age / 2) out += 1 + hub->peers_heard;
+bool peer_directory::all_know(std::span<const store_api::member_record> listed,
+                              std::uint64_t digest) const {
+  std::map<domain_id, std::uint64_t> sums;
+  for (const auto& record : listed) {
+    bool direct = role_ == role::mesh || record.domain == domain_;
+    if (record.id == self_) continue;
+    if (!direct) {
+      sums[record.domain] += stable_hash(record.id.value);
+      continue;
+    }
+    auto known = peers_.find(record.id);
+    if (known == peers_.end() || known->second.lead_digest != digest) {
+      return false;
+    }
   }
-  return out;
+  return std::all_of(sums.begin(), sums.end(), [&](const auto& sum) {
+    return hub_vouches(sum.first, digest, sum.second);
+  });
 }
 
 bool peer_directory::lacks_records(instant now) const {
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -23,14 +23,15 @@
   bool is_hub = false;  ///< It reports for its failure domain.
   bool gone = false;    ///< A hub counts it as gone.
   std::uint32_t capacity = 0;
-  std::uint32_t peers_heard = 0;  ///< By a hub.
-  std::uint32_t peers_known = 0;
+  std::uint32_t peers_known = 0;  ///< To a hub.
   std::uint64_t upstream_revision = 0;
   std::uint64_t stamp = 0;   ///< Of its last report.
   std::uint64_t cycle = 0;   ///< Of the report's first part.
   std::size_t uses = 0;      ///< In the report's parts so far.
   std::uint64_t echoed = 0;  ///< Our last stamp that it has heard.
   std::uint64_t config_revision = 0;
+  std::uint64_t lead_digest = 0;   ///< Of the records of leaders it knows.
+  std::uint64_t lead_knowers = 0;  ///< In its domain; told by a hub.
 };
 
 /// Which instances there are, who lives, and who speaks for whom.
@@ -86,12 +87,12 @@
   std::vector<member_id> members(instant now) const;
   /// The own hub or that of another domain knows more instances.
   bool lacks_records(instant now) const;
-  /// How many peers were heard by this instance or by its hub.
-  std::size_t heard_within(instant now, duration age) const;
-  /// How many of its failure domain a hub has heard, for another hub to count.
-  std::size_t heard_near(instant now, duration age) const {
-    return count_heard(now, age / 2, true);
-  }
+  /// Sum of the stable hashes of the names of all in this failure domain that
+  /// know the records of leaders with this digest; this instance does.
+  std::uint64_t knowers(std::uint64_t digest) const;
+  /// Whether all instances that are listed know these records.
+  bool all_know(std::span<const store_api::member_record> listed,
+                std::uint64_t digest) const;
   /// Those that this instance's domain counts as gone.
   std::vector<std::uint32_t> gone(instant now, bool near_only) const;
   std::vector<store_api::member_record> long_silent(instant now) const;
@@ -105,9 +106,10 @@
   bool speaks(instant now, const peer& what) const;
   std::size_t known_to_hubs(instant now) const;
   bool hub_lives(instant now, const domain_id& domain) const;
-  std::size_t count_heard(instant now, duration age, bool near_only) const;
   bool lives_by_reports(instant now, const peer& what) const;
   domain_id domain_of(std::uint32_t hash) const;
+  bool hub_vouches(const domain_id& domain, std::uint64_t digest,
+                   std::uint64_t sum) const;
   void take_gone(const peer& from, const peer_report& report);
 
   member_id self_;
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -53,6 +53,7 @@
   take_sightings(sender, report);
   take_positions(echo, report.positions.items);
   if (!report.head) return;
+  take_leads(report);
   take_proof(sender, report);
   if (arrived.fresh) note_members();
   // A new process waits for what its peers know, and one without the store
@@ -138,15 +139,24 @@
 // long on its way, or that waited while this process was suspended, proves no
 // more than that.
 void peer_service::take_proof(const peer& from, const peer_report& report) {
-  bool same = report.config_revision != 0 &&
-              report.config_revision == state_.config->revision();
   // Stamps of an earlier process prove nothing to this one.
-  if (!same || from.echoed < incarnation_) return;
+  if (from.echoed < incarnation_) return;
   instant sent(duration(static_cast<std::int64_t>(from.echoed)));
   if (sent > state_.loop.now()) return;
-  instant proven = sent - milliseconds(report.config_age_ms);
-  state_.proof.prove(proven);
-  state_.partition.store_answered(proven);
+  state_.leases.prove(sent - milliseconds(report.lead_age_ms),
+                      report.lead_digest);
+  bool same = report.config_revision != 0 &&
+              report.config_revision == state_.config->revision();
+  if (same) state_.proof.prove(sent - milliseconds(report.config_age_ms));
+}
+
+// A hub's members hear of it with the hub's next report.
+void peer_service::take_leads(const peer_report& report) {
+  auto before = state_.leases.digest();
+  for (const auto& record : report.leads.items) {
+    state_.leases.take(state_.loop.now(), record);
+  }
+  if (state_.leases.digest() != before) hurry();
 }
 
 void peer_service::answer_positions(const inet_address& to,
@@ -173,7 +183,7 @@
   for (const auto& item : positions) {
     auto* group = state_.find_group(item.group);
     if (!group) continue;
-    group->samples().note(asked - milliseconds(item.age_ms), item.position);
+    group->take_sample(asked - milliseconds(item.age_ms), item.position);
   }
 }
 
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -34,6 +34,14 @@
 constexpr duration store_missed_behind_hubs = milliseconds(2500);
 // Peers that were heard within two of their intervals.
 constexpr duration heard_lately = far_interval * 2;
+// Three urgent reports are missing otherwise.
+constexpr duration active_lasts = milliseconds(1500);
+constexpr duration oldest_shown = std::chrono::seconds(1000);
+// Records of leaders are told for so long after they became known.
+constexpr duration lead_news_last = std::chrono::seconds(4);
+constexpr std::size_t most_leads = 24;
+// What a record takes of a datagram.
+constexpr std::size_t lead_bytes = 21;
 // A silent peer hears from this instance less often.
 constexpr unsigned silent_every = 5;
 // Instances of a failure domain that are tried until its hub is known.
@@ -67,6 +75,13 @@
   std::span<const Item> rest_;
 };
 
+// Rounded up, and cut where it proves nothing any more.
+std::uint32_t shown_age(duration age) {
+  auto shown = std::chrono::ceil<milliseconds>(age);
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(shown.count(), 0, oldest_shown.count() / 1000));
+}
+
 std::uint64_t stamp_of(instant at) {
   return static_cast<std::uint64_t>(at.time_since_epoch().count());
 }
@@ -106,10 +121,6 @@
   note_members();
 }
 
-std::size_t peer_service::heard_within(duration age) const {
-  return peers_.heard_within(state_.loop.now(), age);
-}
-
 std::vector<store_api::member_record> peer_service::long_silent() const {
   return peers_.long_silent(state_.loop.now());
 }
@@ -146,6 +157,32 @@
   return reader ? reader->upstream_revision : 0;
 }
 
+std::vector<member_id> peer_service::active() const {
+  std::vector<member_id> out;
+  for (const auto& [id, entry] : peers_.all()) {
+    bool silent = state_.loop.now() - entry.heard > active_lasts;
+    if (entry.ever_heard && !entry.leaving && !silent) out.push_back(id);
+  }
+  return out;
+}
+
+bool peer_service::hears(std::uint32_t member) const {
+  auto heard = active();
+  return std::any_of(heard.begin(), heard.end(), [&](const auto& id) {
+    return short_hash(id.value) == member;
+  });
+}
+
+bool peer_service::leads_differ_elsewhere() const {
+  const auto* reader = peers_.reader(state_.loop.now());
+  return reader && reader->lead_digest != state_.leases.digest();
+}
+
+void peer_service::announce() {
+  hurry();
+  tick();
+}
+
 bool peer_service::config_is_newer_elsewhere() const {
   const auto& all = peers_.all();
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
@@ -218,12 +255,10 @@
       [](const auto& item) { return item.second->watch().failing(); });
 }
 
-// Only peers can tell then whether this instance is on the losing side of a
-// partition.
 bool peer_service::lacks_store() const {
   bool mesh = peers_.own_role() == role::mesh;
-  return state_.proof.proven() &&
-         state_.partition.silent_for(state_.loop.now()) >
+  return state_.leases.proven() &&
+         state_.leases.age(state_.loop.now()) >
              (mesh ? store_missed : store_missed_behind_hubs);
 }
 
@@ -302,16 +337,19 @@
   out.capacity = state_.settings.capacity;
   out.known = static_cast<std::uint32_t>(peers_.all().size());
   out.upstream_revision = upstream_revision_;
-  auto alone = state_.partition.alone_after();
   bool domain = what.whose == scope::domain;
-  out.heard = static_cast<std::uint32_t>(domain ? peers_.heard_near(now, alone)
-                                                : heard_within(alone));
   if (state_.proof.proven()) {
     out.config_revision = state_.config->revision();
-    auto age = std::chrono::ceil<milliseconds>(state_.proof.age(now));
-    out.config_age_ms = static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age.count(), 0, 1'000'000));
+    out.config_age_ms = shown_age(state_.proof.age(now));
   }
+  out.lead_digest = state_.leases.digest();
+  out.lead_age_ms =
+      shown_age(state_.leases.proven() ? state_.leases.age(now) : oldest_shown);
+  if (domain) out.lead_knowers = peers_.knowers(out.lead_digest);
+  // A new process lacks the records that all others have known for long.
+  out.leads.items =
+      state_.leases.recent(now, what.reply ? oldest_shown : lead_news_last);
+  if (out.leads.items.size() > most_leads) out.leads.items.resize(most_leads);
   bool mesh = peers_.own_role() == role::mesh;
   auto near = domain ? peers_.size_of(now, state_.settings.domain) + 1 : 1;
   for (const auto& [id, group] : state_.groups) {
@@ -352,7 +390,8 @@
   report.all_teams = what.all_teams;
   report.uses_in_all = static_cast<std::uint32_t>(uses.size());
   do {
-    auto room = report_bytes - report.gone.items.size() * gone_bytes;
+    auto room = report_bytes - report.gone.items.size() * gone_bytes -
+                report.leads.items.size() * lead_bytes;
     next_positions.fill(report.positions.items, room);
     next_sightings.fill(report.sightings.items, room);
     next_uses.fill(report.uses.items, room);
@@ -362,6 +401,7 @@
     out.push_back(encode(peer_message(report)));
     report.head = false;
     report.gone.items.clear();
+    report.leads.items.clear();
     report.stamp = next_stamp();
   } while (next_uses.left() || next_sightings.left() || next_positions.left());
   return out;
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -40,7 +40,6 @@
     return last_members_;
   }
   std::size_t member_count() const { return last_members_->size(); }
-  std::size_t heard_within(duration age) const;
   std::vector<store_api::member_record> long_silent() const;
   /// A hub knows instances that this one has no record of.
   bool lacks_records() const;
@@ -65,6 +64,19 @@
   }
   /// A peer has a configuration that this instance lacks.
   bool config_is_newer_elsewhere() const;
+  /// A peer that proves the leaders for others knows other records of them.
+  bool leads_differ_elsewhere() const;
+  /// The peer's report has come lately.
+  bool hears(std::uint32_t member) const;
+  /// The peers that were heard a moment ago.
+  std::vector<member_id> active() const;
+  /// Whether all instances that are listed know what this one knows of the
+  /// leaders.
+  bool all_know_leads(std::span<const store_api::member_record> listed) const {
+    return peers_.all_know(listed, state_.leases.digest());
+  }
+  /// Tells the others at once what has changed.
+  void announce();
 
  private:
   /// What goes into a report.
@@ -85,6 +97,7 @@
   void take_uses(const peer& from, const peer_report& report, bool whole);
   void take_sightings(const peer& from, const peer_report& report);
   void take_proof(const peer& from, const peer_report& report);
+  void take_leads(const peer_report& report);
   void reply(const peer& to);
   void point_to_hub(const peer& to);
   void follow(const hub_notice& notice);
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -139,7 +139,7 @@
 
 void proxy_process::tick() {
   for (auto& [id, group] : state_.groups) group->tick();
-  check_partition();
+  check_leases();
   store_.tick();
   leaders_.tick();
   peers_.tick();
@@ -147,15 +147,14 @@
   loop_.arm_in(tick_, tick_interval);
 }
 
-void proxy_process::check_partition() {
-  auto heard = peers_.heard_within(state_.partition.alone_after());
-  bool may =
-      state_.partition.may_write(loop_.now(), heard, peers_.member_count());
-  if (may == state_.may_write) return;
-  state_.may_write = may;
-  state_.log.write(journal_event::belief, may ? "writes_resume" : "writes_stop",
-                   {{"peers_heard", std::uint64_t{heard}},
-                    {"members", std::uint64_t{peers_.member_count()}}});
+void proxy_process::check_leases() {
+  bool held = state_.leases.holds(loop_.now());
+  if (held == leases_held_) return;
+  leases_held_ = held;
+  auto age =
+      state_.leases.proven() ? state_.leases.age(loop_.now()) : duration{0};
+  state_.log.write(journal_event::belief, held ? "leases_held" : "leases_ended",
+                   {{"age_ms", age}});
 }
 
 void proxy_process::drain_tick() {
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -45,7 +45,7 @@
   void take_signal(int number);
   void reload();
   void tick();
-  void check_partition();
+  void check_leases();
   void drain_tick();
   void close_resting();
   void share_connections();
@@ -59,6 +59,7 @@
   leader_service leaders_;
   drain drain_;
   bool closing_ = false;
+  bool leases_held_ = false;
   instant stop_by_;
   std::list<session_ptr> sessions_;
   timer tick_;
--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -18,10 +18,11 @@
   inet_address peers;      ///< Where other instances send datagrams.
   std::uint32_t ip = 0;
   inet_address store;
-  inet_address failover;     ///< Where a new leader is named.
-  duration heartbeat{0};     ///< Of databases.
-  duration revoke_bound{0};  ///< A withdrawn key runs nothing after it.
-  duration drain_bound{0};   ///< A draining database gets nothing after it.
+  inet_address failover;       ///< Where a new leader is named.
+  duration heartbeat{0};       ///< Of databases.
+  duration revoke_bound{0};    ///< A withdrawn key runs nothing after it.
+  duration drain_bound{0};     ///< A draining database gets nothing after it.
+  bool tokens_checked = true;  ///< By the failover service: refuses old ones.
   std::size_t most_sessions = 2000;  ///< Callers beyond it are turned away.
   std::uint32_t capacity = 0;        ///< Thousandths of a core.
   bool logs = true;                  ///< Off only to measure what logs cost.
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -12,7 +12,7 @@
 #include "proxy/upstream-group.h"
 #include "toucanmux/proxy/config-proof.h"
 #include "toucanmux/proxy/fleet-config.h"
-#include "toucanmux/proxy/partition-guard.h"
+#include "toucanmux/proxy/lead-lease.h"
 #include "toucanmux/proxy/rate-ledger.h"
 #include "toucanmux/request/retry-budget.h"
 
@@ -47,11 +47,10 @@
   std::shared_ptr<const fleet_config> config =
       std::make_shared<const fleet_config>();
   config_proof proof;
+  lead_lease leases;
   rate_ledger limits;
   retry_budget retries;  ///< Second tries of reads that have no answer.
   std::map<group_id, std::unique_ptr<upstream_group>> groups;
-  partition_guard partition{partition_guard::settings{}};
-  bool may_write = true;  ///< What the guard said at the last tick.
   bool stopping = false;  ///< Told to end.
 };
 
--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -7,6 +7,7 @@
 
 #include "proxy/http-caller.h"
 #include "toucanmux/proxy/fleet-config.h"
+#include "toucanmux/proxy/lead-record.h"
 #include "toucanmux/proxy/read-age.h"
 #include "toucanmux/proxy/takeover-messages.h"
 #include "toucanmux/proxy/upstream-entry.h"
@@ -70,9 +71,19 @@
 /// @param answered false if the store did not answer.
 duty_read parse_duty(const http_result& result);
 http_call write_duty(const toucanmux::write_duty& what);
-duty_outcome parse_duty_outcome(const http_result& result);
-/// True if the result of a duty's read shows that this write took effect.
-bool holds_duty(const http_result& result, const toucanmux::write_duty& what);
+duty_written parse_duty_outcome(const http_result& result);
+/// What peers are told of a duty's object.
+lead_record record_of(const toucanmux::write_duty& what,
+                      std::uint64_t revision);
+http_call list_duties(std::string_view after);
+struct duty_page {
+  std::vector<lead_record> records;
+  std::string continue_after;
+};
+std::optional<duty_page> parse_duties(std::string_view body);
+/// The outcome of a write as the duty's read after it shows.
+duty_written outcome_by_read(const http_result& result,
+                             const toucanmux::write_duty& what);
 
 http_call name_leader(const toucanmux::name_leader& what);
 naming_outcome parse_naming(const http_result& result);
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -22,6 +22,11 @@
 constexpr duration hub_read_age = milliseconds(1500);
 // Proofs come over two hubs and are older; a call still fits into the bound.
 constexpr duration member_read_age = milliseconds(3000);
+// Leases are shorter than the bound on withdrawn keys, so the records of
+// leaders are read sooner than the configuration where proofs are late.
+constexpr duration own_duty_age = milliseconds(1600);
+constexpr duration hub_duty_age = milliseconds(1300);
+constexpr duration member_duty_age = milliseconds(2000);
 constexpr duration retry_interval = milliseconds(400);
 // Several times the store's usual answer, so that a silent connection is
 // noticed and a slow store still serves.
@@ -64,6 +69,11 @@
     auto due = config_reads_.due(now, config_situation());
     if (due) read_config(*due);
   }
+  if (!reading_duties_ && now >= next_duties_ && duties_are_due()) {
+    duties_.clear();
+    duties_asked_.reset();
+    read_duties({});
+  }
   if (revision_ == 0 && !listing_ && now >= next_list_) list_upstreams({});
   if (lags_behind_reader()) revision_ = 0;
   bool watches = peers_.reads_for_domain() && revision_ != 0 && !watching_;
@@ -109,7 +119,6 @@
       group->watch().store_away(state_.loop.now());
     }
   }
-  if (reached) state_.partition.store_answered(state_.loop.now());
   failures_ = reached ? 0 : failures_ + 1;
   if (reached == store_reached_) return;
   store_reached_ = reached;
@@ -177,7 +186,7 @@
     if (!group) {
       group = std::make_unique<upstream_group>(
           state_.loop, state_.log, policy.id, state_.settings.self,
-          state_.settings.domain, state_.settings.heartbeat,
+          state_.settings.domain, state_.leases, state_.settings.heartbeat,
           state_.settings.drain_bound);
       revision_ = 0;  // Its databases were passed over until now.
     }
@@ -195,6 +204,55 @@
   peers_.hurry();
 }
 
+duration store_sync::duty_interval() const {
+  using role = peer_directory::role;
+  switch (peers_.own_role()) {
+    case role::mesh:
+      return peers_.reads_for_domain() ? domain_read_interval : own_duty_age;
+    case role::hub:
+      return peers_.reads_for_all() ? domain_read_interval : hub_duty_age;
+    case role::member:
+      break;
+  }
+  return member_duty_age;
+}
+
+bool store_sync::duties_are_due() const {
+  const auto& leases = state_.leases;
+  if (!registered_) return false;
+  if (!leases.proven()) return true;
+  return leases.age(state_.loop.now()) >= duty_interval() ||
+         peers_.leads_differ_elsewhere();
+}
+
+void store_sync::read_duties(const std::string& after) {
+  reading_duties_ = true;
+  // Nothing is served by a leader until one who reads for others has it again.
+  bool for_others = peers_.reads_for_domain();
+  auto tries = for_others ? 0U : std::min(failures_, 2U);
+  next_duties_ = state_.loop.now() + retry_interval * (1 + tries);
+  store_.call(store_api::list_duties(after), call_limit,
+              [this](http_result&& result) { take_duties(std::move(result)); });
+}
+
+// Each page is at least as new as the moment at which the first was asked for.
+void store_sync::take_duties(http_result&& result) {
+  reading_duties_ = false;
+  bool good = result.answered && result.status == 200;
+  note_store(good, "duties");
+  if (!good) return;
+  auto page = store_api::parse_duties(result.body);
+  if (!page) return;
+  if (!duties_asked_) duties_asked_ = result.asked;
+  duties_.insert(duties_.end(), page->records.begin(), page->records.end());
+  if (!page->continue_after.empty()) {
+    return read_duties(page->continue_after);
+  }
+  bool held = state_.leases.holds(state_.loop.now());
+  state_.leases.take_list(state_.loop.now(), *duties_asked_, duties_);
+  if (!held && peers_.reads_for_domain()) peers_.announce();
+}
+
 void store_sync::list_upstreams(const std::string& after) {
   if (state_.groups.empty()) return;
   listing_ = true;
@@ -369,6 +427,7 @@
   if (exists) replace_own_record(result.body);
   registered_ = good || exists;
   if (!registered_) return;
+  state_.leases.admit(state_.loop.now());
   members_age_ = read_age::newest;
   list_members({});
 }
@@ -417,6 +476,7 @@
   if (!page->continue_after.empty()) return list_members(page->continue_after);
   members_age_ = read_age::seconds_old;
   registered_ = own_record_found_;
+  if (registered_) state_.leases.admit(state_.loop.now());
   forget_unrecorded();
   members_listed_ = true;
   next_check_ = state_.loop.now() + check_interval;
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -39,6 +39,9 @@
   void take_config(read_age age, http_result&& result);
   config_reads::situation config_situation() const;
   void apply(std::string_view body);
+  bool duties_are_due() const;
+  void read_duties(const std::string& after);
+  void take_duties(http_result&& result);
   void list_upstreams(const std::string& after);
   void take_list(http_result&& result);
   void finish_list();
@@ -61,6 +64,7 @@
   void remove_silent();
   void note_store(bool reached, std::string_view call);
   duration read_interval() const;
+  duration duty_interval() const;
 
   proxy_state& state_;
   peer_service& peers_;
@@ -69,6 +73,10 @@
   config_reads config_reads_;
   bool reading_ = false;
   instant next_read_;
+  bool reading_duties_ = false;
+  instant next_duties_;
+  std::vector<lead_record> duties_;      ///< Of the pages read so far.
+  std::optional<instant> duties_asked_;  ///< When the first was asked for.
   std::string last_body_;
   bool listing_ = false;
   instant next_list_;
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -1,5 +1,7 @@
 #include "toucanmux/proxy/takeover.h"
 
+#include <algorithm>
+
 namespace toucanmux {
 
 std::vector<takeover_action> takeover::step(instant now,
@@ -12,49 +14,120 @@
 void takeover::on(instant now, const takeover_start& what) {
   if (running()) return;
   goal_ = what;
+  confirmed_ = !what.suspected;
+  withdrawn_ = given_up_ = false;
   answers_.clear();
   old_position_.reset();
+  open_order_ = {};
   fence_term_ = what.term + 1;
   enter(now, phase::reading_duty);
   actions_.emplace_back(read_duty{what.group});
 }
 
+void takeover::on(instant now, const takeover_confirmed&) {
+  if (!running()) return;
+  confirmed_ = true;
+  withdrawn_ = false;
+  if (phase_ == phase::waiting) go_on(now);
+}
+
+// Until another one is asked for its position nothing has been decided. One
+// that was told to step down may not lead any more.
+void takeover::on(instant now, const takeover_withdrawn&) {
+  bool early = phase_ == phase::reading_duty || phase_ == phase::revoking ||
+               phase_ == phase::waiting;
+  if (!early || goal_.planned) return;
+  withdrawn_ = true;
+  if (phase_ == phase::waiting) give_back(now);
+}
+
+void takeover::on(instant now, const leases_given_up&) {
+  if (phase_ != phase::waiting) return;
+  given_up_ = true;
+  go_on(now);
+}
+
 void takeover::on(instant now, const duty_read& what) {
   if (phase_ != phase::reading_duty) return;
   if (!what.reached) return end(takeover_end::no_duty);
+  if (withdrawn_) return end(takeover_end::given_back);
   if (must_yield(now, what)) return end(takeover_end::yielded);
+  note_open_order(now, what);
+  bool revoked = what.exists && what.phase == lead_phase::revoked;
+  was_revoked_ = revoked && what.revision == goal_.known_revision;
+  revoked_at_ = goal_.known_since;
   token_ = what.token + 1;
-  enter(now, phase::writing_duty);
-  actions_.emplace_back(write_duty{goal_.group, token_, self_, goal_.leader,
-                                   what.exists ? what.revision : 0});
+  revision_ = what.exists ? what.revision : 0;
+  write(now, phase::revoking, lead_phase::revoked, goal_.leader);
+}
+
+instant takeover::seen_since(instant now, std::uint64_t revision) {
+  if (revision == goal_.known_revision) return goal_.known_since;
+  if (revision != seen_revision_) {
+    seen_revision_ = revision;
+    seen_since_ = now;
+  }
+  return seen_since_;
 }
 
-// Another instance that has taken the duty for this leader is at work on it.
-// How long ago is unknown, so it gets its time from when it is first seen.
+// Another instance that has taken the duty is at work on it. How long ago is
+// unknown, so it gets its time from when it is first seen.
 bool takeover::must_yield(instant now, const duty_read& what) {
   if (!what.exists || what.holder == self_) return false;
-  if (what.replaces != goal_.leader) return false;
-  if (what.revision != yielded_revision_) {
-    yielded_revision_ = what.revision;
-    yielded_since_ = now;
+  if (what.phase == lead_phase::settled) return false;
+  bool active = std::find(goal_.active.begin(), goal_.active.end(),
+                          what.holder) != goal_.active.end();
+  auto limit = active ? settings_.yield_for : settings_.yield_to_silent;
+  return now - seen_since(now, what.revision) < limit;
+}
+
+// Where tokens are not checked, an order that was never answered may undo a
+// later one; only the same database can be named meanwhile.
+void takeover::note_open_order(instant now, const duty_read& what) {
+  bool open =
+      what.exists && !what.order.empty() && what.revision != refused_revision_;
+  if (!open || settings_.tokens_checked) return;
+  if (now - seen_since(now, what.revision) < settings_.order_open) {
+    open_order_ = what.order;
   }
-  return now - yielded_since_ < settings_.yield_for;
 }
 
 void takeover::on(instant now, const duty_written& what) {
-  if (phase_ != phase::writing_duty) return;
+  bool writing = phase_ == phase::revoking || phase_ == phase::recording ||
+                 phase_ == phase::settling || phase_ == phase::giving_back;
+  if (!writing) return;
+  if (phase_ == phase::settling) return end(takeover_end::named);
+  if (phase_ == phase::giving_back) return end(takeover_end::given_back);
   if (what.outcome == duty_outcome::lost) return end(takeover_end::yielded);
   // A token whose write has no answer may still be taken: never use it.
   if (what.outcome == duty_outcome::unknown) return end(takeover_end::no_duty);
-  if (!goal_.planned) return ask_all(now);
-  enter(now, phase::stepping_down);
+  revision_ = what.revision;
+  take_written(now);
+}
+
+void takeover::take_written(instant now) {
+  if (phase_ == phase::recording) {
+    // Another instance may have gone on after a pause of this one.
+    if (now - entered_ > settings_.order_within) {
+      return end(takeover_end::not_named);
+    }
+    enter(now, phase::naming);
+    actions_.emplace_back(name_leader{goal_.group, chosen_, self_, token_});
+    return;
+  }
+  if (!was_revoked_) revoked_at_ = now;
+  if (withdrawn_) return give_back(now);
+  enter(now, phase::waiting);
+  if (goal_.planned) ask_to_step_down();
+}
+
+void takeover::ask_to_step_down() {
   actions_.emplace_back(step_down{goal_.leader, fence_term_});
 }
 
 void takeover::on(instant now, const position_seen& what) {
-  if (phase_ == phase::stepping_down && what.database == goal_.leader) {
-    if (what.answered) old_position_ = what.received;
-    return ask_all(now);
+  if (phase_ == phase::waiting && what.database == goal_.leader) {
+    return take_step_down(now, what);
   }
   if (phase_ != phase::asking) return;
   if (what.answered) {
@@ -67,36 +140,64 @@
   if (complete) choose(now);
 }
 
-void takeover::on(instant, const leader_named& what) {
+// A leader that has stepped down serves nobody, whatever leases are left.
+void takeover::take_step_down(instant now, const position_seen& what) {
+  if (!what.answered || !goal_.planned) return;
+  if (what.leads) {
+    if (what.term < fence_term_) return;
+    fence_term_ = what.term + 1;
+    return ask_to_step_down();
+  }
+  old_position_ = what.received;
+  ask_all(now);
+}
+
+void takeover::on(instant now, const leader_named& what) {
   if (phase_ != phase::naming) return;
-  end(what.outcome == naming_outcome::accepted ? takeover_end::named
-                                               : takeover_end::not_named);
+  if (what.outcome == naming_outcome::accepted) {
+    open_order_ = {};
+    return write(now, phase::settling, lead_phase::settled, chosen_);
+  }
+  if (what.outcome == naming_outcome::refused) refused_revision_ = revision_;
+  end(takeover_end::not_named);
 }
 
 void takeover::on(instant now, const takeover_tick&) {
   if (!running()) return;
-  if (phase_ == phase::stepping_down && now - entered_ > settings_.ask_for) {
-    return ask_all(now);
-  }
-  if (phase_ == phase::asking) {
-    auto limit = old_position_ ? settings_.catch_up : settings_.ask_for;
-    if (now - entered_ >= limit) return choose(now);
-    if (old_position_ && now - asked_ >= settings_.ask_again) {
-      asked_ = now;
-      for (const auto& id : goal_.candidates) {
-        actions_.emplace_back(ask_position{id});
-      }
-    }
-    return;
-  }
+  if (phase_ == phase::waiting) return go_on(now);
+  if (phase_ == phase::asking) return tick_asking(now);
   if (now - entered_ > settings_.step_limit) end(takeover_end::no_duty);
 }
 
+void takeover::go_on(instant now) {
+  bool ended = given_up_ || now - revoked_at_ >= lead_lease::outlasted;
+  if (confirmed_ && ended) return ask_all(now);
+  bool confirmable = now - entered_ < settings_.confirm_within;
+  if (!confirmed_ && !confirmable) give_back(now);
+}
+
+void takeover::tick_asking(instant now) {
+  auto limit = old_position_ ? settings_.catch_up : settings_.ask_for;
+  if (now - entered_ >= limit) return choose(now);
+  if (!old_position_ || now - asked_ < settings_.ask_again) return;
+  asked_ = now;
+  for (const auto& id : goal_.candidates) {
+    actions_.emplace_back(ask_position{id});
+  }
+}
+
 void takeover::enter(instant now, phase next) {
   phase_ = next;
   entered_ = now;
 }
 
+void takeover::write(instant now, phase next, lead_phase what,
+                     const database_id& leader) {
+  enter(now, next);
+  actions_.emplace_back(write_duty{goal_.group, token_, self_, goal_.leader,
+                                   revision_, what, leader, open_order_});
+}
+
 void takeover::ask_all(instant now) {
   enter(now, phase::asking);
   asked_ = now;
@@ -112,10 +213,17 @@
 }
 
 void takeover::choose(instant now) {
+  if (!open_order_.empty()) return name(now, open_order_);
   const database_id* best = furthest();
-  if (!best || !enough_answers()) return end(takeover_end::no_candidate);
-  enter(now, phase::naming);
-  actions_.emplace_back(name_leader{goal_.group, *best, self_, token_});
+  if (best && enough_answers()) return name(now, *best);
+  // The old leader may still serve some, unless it has stepped down.
+  if (!old_position_) return give_back(now);
+  end(takeover_end::no_candidate);
+}
+
+void takeover::name(instant now, const database_id& which) {
+  chosen_ = open_order_ = which;
+  write(now, phase::recording, lead_phase::named, chosen_);
 }
 
 // A commit was received by `sync_replicas` replicas; so many answers must
@@ -136,6 +244,10 @@
   return best;
 }
 
+void takeover::give_back(instant now) {
+  write(now, phase::giving_back, lead_phase::settled, goal_.leader);
+}
+
 void takeover::end(takeover_end how) {
   phase_ = phase::idle;
   actions_.emplace_back(takeover_ended{how});
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -33,7 +33,7 @@
   ++what.failures;
   auto wait = first_retry * (1U << std::min(what.failures - 1, 3U));
   what.next_probe = loop_.now() + std::min<duration>(wait, longest_retry);
-  if (leader() == what.entry.id) watch_.leader_failed(loop_.now());
+  if (last_leader() == what.entry.id) watch_.leader_failed(loop_.now());
   if (what.suspended) return;
   what.suspended = true;
   log_.write(journal_event::dependency, "upstream_lost",
@@ -102,22 +102,24 @@
 }
 
 bool upstream_group::needs_samples() const {
-  return probing_ == probing::none && has_leader() &&
+  return probing_ == probing::none && last_leader() &&
          samples_are_wanted(late_sample_age);
 }
 
 bool upstream_group::borrows() const {
-  auto index = leader_index();
+  auto index = believed_index();
   return index && upstreams_[*index]->allowed.borrows;
 }
 
 void upstream_group::probe_leader() {
   instant now = loop_.now();
-  auto index = leader_index();
+  auto index = believed_index();
   if (!index) return;
   upstream& up = *upstreams_[*index];
   if (up.suspended || probing_ == probing::none) return;
-  bool quiet = !up.answered || now - *up.answered > probe_after;
+  // One that was named is asked until it leads, sooner than discovery tells.
+  bool awaited = record() && leader_index() != index;
+  bool quiet = awaited || !up.answered || now - *up.answered > probe_after;
   auto age = probing_ == probing::shared ? shared_sample_age : sample_age;
   if (!quiet && !samples_are_wanted(age)) return;
   if (upstream_link* idle = exchangeable(up)) {
@@ -130,7 +132,7 @@
 
 // Gives back what is beyond the share and what has been idle too long.
 void upstream_group::trim() {
-  auto leader = leader_index();
+  auto leader = believed_index();
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     trim_one(*upstreams_[i], leader == i);
   }
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -73,7 +73,8 @@
 
 upstream_group::upstream_group(event_loop& loop, journal& log,
                                const group_id& id, const member_id& self,
-                               const domain_id& domain, duration heartbeat,
+                               const domain_id& domain,
+                               const lead_lease& leases, duration heartbeat,
                                duration drain_bound)
     : loop_(loop),
       log_(log),
@@ -81,6 +82,7 @@
       hash_(short_hash(id.value)),
       self_(self),
       domain_(domain),
+      leases_(leases),
       drain_bound_(drain_bound),
       members_(std::make_shared<const std::vector<member_id>>()),
       watch_(watch_settings(heartbeat)) {}
@@ -164,22 +166,69 @@
   return !what.suspended;
 }
 
-std::optional<std::size_t> upstream_group::leader_index() const {
+// The leader as far as discovery says.
+std::optional<std::size_t> upstream_group::claimed_index() const {
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     const upstream& up = *upstreams_[i];
-    if (!up.entry.claims_lead || up.denied_lead) continue;
-    if (is_gone(up)) continue;
+    if (!up.entry.claims_lead || up.denied_lead || is_gone(up)) continue;
     if (!best || upstreams_[*best]->lead_revision < up.lead_revision) best = i;
   }
   return best;
 }
 
+// The store's record goes before what databases say: a leader that was
+// replaced may not know it.
+std::optional<std::size_t> upstream_group::believed_index() const {
+  const lead_record* known = record();
+  if (!known) return claimed_index();
+  for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+    const upstream& up = *upstreams_[i];
+    if (short_hash(up.entry.id.value) == known->leader && !is_gone(up)) {
+      return i;
+    }
+  }
+  return {};
+}
+
+std::optional<std::size_t> upstream_group::leader_index() const {
+  const lead_record* known = record();
+  if (!known) return claimed_index();
+  if (known->phase == lead_phase::revoked) return {};
+  auto index = believed_index();
+  if (!index) return {};
+  const upstream& up = *upstreams_[*index];
+  bool leads = !up.denied_lead && (up.entry.claims_lead || up.proven_lead);
+  return leads ? index : std::nullopt;
+}
+
+bool upstream_group::leads(std::size_t index) const {
+  return leases_.holds(loop_.now()) && leader_index() == index;
+}
+
+// What is believed was in force when it was proven last.
+std::optional<bool> upstream_group::led_since(std::size_t index,
+                                              instant since) const {
+  const lead_record* known = record();
+  if (known && known->phase == lead_phase::revoked) return {};
+  if (believed_index() != index) return false;
+  if (!leases_.proven() || leases_.proven_at() < since) return {};
+  return true;
+}
+
 void upstream_group::update_leader() {
+  const lead_record* known = record();
+  if (known && known->revision != record_revision_) {
+    record_revision_ = known->revision;
+    term_before_ = leader_term();
+    for (auto& up : upstreams_) up->proven_lead = false;
+  }
+  if (auto believed = believed_index()) {
+    watch_.set_leader(upstreams_[*believed]->entry.id);
+  }
   auto index = leader_index();
   if (!index) return;
   const auto& id = upstreams_[*index]->entry.id;
-  watch_.set_leader(id);
   if (last_leader_ == id) return;
   log_.write(journal_event::belief, "leader_changed",
              {{"group", id_.value},
@@ -195,6 +244,12 @@
   return upstreams_[*index]->entry.id;
 }
 
+std::optional<database_id> upstream_group::last_leader() const {
+  auto index = believed_index();
+  if (!index) return {};
+  return upstreams_[*index]->entry.id;
+}
+
 const upstream* upstream_group::find(const database_id& id) const {
   for (const auto& up : upstreams_) {
     if (up->entry.id == id) return up.get();
@@ -223,11 +278,32 @@
   upstream& up = *upstreams_[index];
   if (up.denied_lead) return;
   up.denied_lead = true;
+  up.proven_lead = false;
   log_.write(journal_event::belief, "lead_denied",
              {{"group", id_.value}, {"upstream", up.entry.id.value}});
   update_leader();
 }
 
+void upstream_group::note_lead_proven(std::size_t index) {
+  if (believed_index() != index) return;
+  upstream& up = *upstreams_[index];
+  if (up.proven_lead && !up.denied_lead) return;
+  up.proven_lead = true;
+  up.denied_lead = false;
+  update_leader();
+  schedule_serve();
+}
+
+// A term that nobody had before was begun by the database that is named.
+void upstream_group::take_sample(instant asked, const log_position& position) {
+  samples_.note(asked, position);
+  update_leader();
+  auto index = believed_index();
+  if (record() && index && position.term > term_before_) {
+    note_lead_proven(*index);
+  }
+}
+
 void upstream_group::note_behind(std::size_t index) {
   upstream& up = *upstreams_[index];
   if (loop_.now() < up.behind_until) return;
@@ -348,6 +424,7 @@
 
 bool upstream_group::may_serve(const upstream_need& need) const {
   auto leader = leader_index();
+  if (need.leader_only && !leases_.holds(loop_.now())) return false;
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     if (need.leader_only && leader != i) continue;
     if (need.excluded >> (i % 64) & 1U) continue;
@@ -467,12 +544,12 @@
   instant now = loop_.now();
   upstream& up = *upstreams_[link.upstream()];
   note_alive(up);
-  bool leads = leader_index() == link.upstream();
-  if (leads) watch_.leader_answered(now);
+  if (believed_index() == link.upstream()) watch_.leader_answered(now);
+  bool leader = leader_index() == link.upstream();
   if (answer.position) up.term = std::max(up.term, answer.position->term);
   if (answer.step == link_step::statement && answer.ok) {
     up.outcomes.note(now, false);
-    if (!leads && now >= up.behind_until) up.behind_count = 0;
+    if (!leader && now >= up.behind_until) up.behind_count = 0;
     auto taken = now - answer.sent;
     up.response_time += std::chrono::duration_cast<duration>(
         (taken - up.response_time) * response_weight);
@@ -480,8 +557,10 @@
   bool proves_lead =
       answer.step == link_step::begin || answer.step == link_step::probe;
   if (!proves_lead) return;
+  if (answer.ok) note_lead_proven(link.upstream());
   if (answer.ok && answer.position) {
-    samples_.note(answer.sent, *answer.position);
+    // Without the lease another one may have led before the answer came.
+    if (leads(link.upstream())) samples_.note(answer.sent, *answer.position);
   } else if (answer.error == wire::failure_kind::not_leader) {
     note_not_leader(link.upstream());
   }
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -11,6 +11,7 @@
 #include "proxy/upstream-link.h"
 #include "proxy/upstream.h"
 #include "toucanmux/proxy/fleet-config.h"
+#include "toucanmux/proxy/lead-lease.h"
 #include "toucanmux/proxy/leader-watch.h"
 #include "toucanmux/proxy/position-samples.h"
 #include "toucanmux/proxy/waiting-rule.h"
@@ -28,7 +29,8 @@
 
   upstream_group(event_loop& loop, journal& log, const group_id& id,
                  const member_id& self, const domain_id& domain,
-                 duration heartbeat, duration drain_bound);
+                 const lead_lease& leases, duration heartbeat,
+                 duration drain_bound);
   ~upstream_group() override;
   upstream_group(const upstream_group&) = delete;
   upstream_group(upstream_group&&) = delete;
@@ -59,6 +61,15 @@
 
   bool has_leader() const { return leader_index().has_value(); }
   std::optional<database_id> leader() const;
+  /// The leader, or the one that a change under way replaces.
+  std::optional<database_id> last_leader() const;
+  /// Whether this instance may act on the database's lead now.
+  bool leads(std::size_t index) const;
+  /// Whether the database led at a moment at or after `since`; nothing if that
+  /// is not known yet.
+  std::optional<bool> led_since(std::size_t index, instant since) const;
+  /// The group's record in the store, or null.
+  const lead_record* record() const { return leases_.find(hash_); }
   const upstream* find(const database_id& id) const;
   const upstream& at(std::size_t index) const { return *upstreams_[index]; }
   std::vector<const upstream*> all() const;
@@ -73,7 +84,9 @@
   void note_failure(std::size_t index) {
     upstreams_[index]->outcomes.note(loop_.now(), true);
   }
-  position_samples& samples() { return samples_; }
+  /// A sample of the leader's position that a peer has proven.
+  void take_sample(instant asked, const log_position& position);
+  const position_samples& samples() const { return samples_; }
   leader_watch& watch() { return watch_; }
   /// How long an answer of this database usually takes at the most.
   duration patience(std::size_t index) const;
@@ -123,6 +136,9 @@
   void allow(upstream& what) const;
   place free_place(const database_id& id);
   std::optional<std::size_t> leader_index() const;
+  std::optional<std::size_t> believed_index() const;
+  std::optional<std::size_t> claimed_index() const;
+  void note_lead_proven(std::size_t index);
   bool is_gone(const upstream& what) const;
   bool usable(const upstream& what) const;
   void note_alive(upstream& what);
@@ -152,6 +168,7 @@
   std::uint32_t hash_;
   member_id self_;
   domain_id domain_;
+  const lead_lease& leases_;
   duration drain_bound_;
   group_policy policy_;
   std::shared_ptr<const std::vector<member_id>> members_;  ///< Of all groups.
@@ -160,6 +177,8 @@
   position_samples samples_;
   leader_watch watch_;
   std::optional<database_id> last_leader_;
+  std::uint64_t record_revision_ = 0;  ///< Of the record that was seen last.
+  std::uint64_t term_before_ = 0;      ///< The highest when it was seen first.
   instant samples_wanted_;
   probing probing_ = probing::own;
   team_id probe_team_;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -27,6 +27,7 @@
   instant behind_until;       ///< Its log lacks what reads need.
   unsigned behind_count = 0;  ///< Times in a row.
   bool denied_lead = false;   ///< It says that it does not lead.
+  bool proven_lead = false;   ///< It answered as leader since it was named.
   std::uint64_t lead_revision = 0;  ///< When it began to claim the lead.
   std::uint64_t term = 0;           ///< The highest seen in its answers.
   duration response_time = std::chrono::milliseconds(15);
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -296,19 +296,79 @@
   BOOST_TEST(answer.find("retry after") != std::string::npos);
 }
 
-BOOST_AUTO_TEST_CASE(the_losing_side_of_a_partition_reads_but_does_not_write) {
+// Another leader may have been named on the other side of a partition.
+BOOST_AUTO_TEST_CASE(
+    without_a_lease_replicas_read_and_the_leader_does_nothing) {
+  auto holder = hold_leader(*this);
   auto caller = connect("orders");
   auto writing = connect("orders");
   writing->ask("QUERY 3 BEGIN");
   writing->ask("QUERY 4 PUT 1a4 x");
-  state.may_write = false;
+  state.leases = lead_lease();
   // A commit would be acknowledged and rolled back later.
   auto answer = writing->ask("QUERY 5 COMMIT");
   BOOST_TEST(begins(answer, "ERR ABORTED"));
   BOOST_TEST(answer.find("READY I") != std::string::npos);
   BOOST_TEST(begins(caller->ask("QUERY 1 PUT 1a4 x"), "ERR BUSY"));
-  BOOST_TEST(begins(caller->ask("QUERY 2 FETCH 1a4"), "ROW"));
+  BOOST_TEST(begins(caller->ask("QUERY 2 FETCH 1a4"), "ERR BUSY"));
+  auto reader = connect("stock");
+  BOOST_TEST(begins(reader->ask("QUERY 6 FETCH 1a4"), "ROW"));
+  BOOST_TEST(first.number == 100U);
+  BOOST_TEST(count(first.ran(), "2 FETCH") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_after_the_lease_waits_for_the_next_proof) {
+  auto caller = connect("orders");
+  caller->ask("QUERY 1 PUT 1a4 x");
+  first.hold_answers = true;
+  caller->send("QUERY 2 PUT 1a4 y");
+  pass(50ms);
+  state.leases = lead_lease();
+  first.release_answers();
+  pass(150ms);
+  BOOST_TEST(!caller->heard_anything());
+  renew_leases();
+  BOOST_TEST(begins(caller->answer(), "ROW values|DONE sig.i-1"));
+  BOOST_TEST(first.number == 102U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_a_replaced_leader_has_no_known_outcome) {
+  auto caller = connect("orders");
+  caller->ask("QUERY 1 PUT 1a4 x");
+  first.hold_answers = true;
+  caller->send("QUERY 2 PUT 1a4 y");
+  pass(50ms);
+  lead("i-2", lead_phase::named);
+  first.release_answers();
+  BOOST_TEST(begins(caller->answer(), "ERR UNKNOWN"));
+  // Nothing is learnt before the deadline.
+  lead("i-1", lead_phase::settled);
+  first.hold_answers = true;
+  caller->send("QUERY 3 PUT 1a4 y");
+  pass(50ms);
+  state.leases = lead_lease();
+  first.release_answers();
+  BOOST_TEST(begins(caller->answer(), "ERR UNKNOWN"));
+}
+
+// The old leader may go on for seconds, and say so in discovery.
+BOOST_AUTO_TEST_CASE(a_replaced_leader_that_goes_on_is_not_served_by) {
+  auto caller = connect("orders");
+  auto writing = connect("orders");
+  writing->ask("QUERY 1 BEGIN");
+  writing->ask("QUERY 2 PUT 1a4 x");
+  lead("i-1", lead_phase::revoked);
+  BOOST_TEST(begins(caller->ask("QUERY 3 PUT 1a4 x"), "ERR BUSY"));
+  BOOST_TEST(begins(caller->ask("QUERY 4 FETCH 1a4"), "ERR BUSY"));
+  BOOST_TEST(begins(writing->ask("QUERY 5 COMMIT"), "ERR ABORTED"));
+  lead("i-2", lead_phase::named);
+  second.leads = true;
+  // It is asked before discovery names it.
+  pass(700ms);
+  BOOST_TEST(begins(caller->ask("QUERY 6 PUT 1a4 x"), "ROW"));
+  BOOST_TEST(second.number == 101U);
   BOOST_TEST(first.number == 100U);
+  BOOST_TEST(first.leads);
 }
 
 BOOST_AUTO_TEST_CASE(a_silent_database_is_suspended_and_comes_back) {
--- a/test/leader-watch-test.cc
+++ b/test/leader-watch-test.cc
@@ -99,6 +99,22 @@
   BOOST_TEST((found == verdict::failed));
 }
 
+// A suspicion takes the leases of those that still reach the leader.
+BOOST_AUTO_TEST_CASE(a_leader_that_a_peer_reaches_is_not_suspected) {
+  auto watch = make();
+  instant start{10s};
+  BOOST_TEST(!watch.unreached(start, 3));
+  watch.leader_failed(start);
+  watch.take_sighting(start + 300ms, member_id("b"), sighting(true));
+  BOOST_TEST(!watch.unreached(start + 200ms, 3));
+  BOOST_TEST(watch.unreached(start + 300ms, 3));
+  watch.take_sighting(start + 400ms, member_id("c"), sighting(false));
+  BOOST_TEST(!watch.unreached(start + 400ms, 3));
+  BOOST_TEST(watch.unreached(start + 400ms, 1));
+  watch.leader_answered(start + 400ms);
+  BOOST_TEST(!watch.unreached(start + 500ms, 1));
+}
+
 BOOST_AUTO_TEST_CASE(heartbeats_say_that_it_lives) {
   auto watch = make();
   instant start{10s};
--- a/test/peer-directory-test.cc
+++ b/test/peer-directory-test.cc
@@ -40,7 +40,8 @@
     report.stamp = ++stamp;
     report.capacity = capacity;
     report.gone.items = gone;
-    report.heard = 40;
+    report.lead_digest = digest;
+    report.lead_knowers = knowers;
     report.known = knows;
     return known.take(now, member_id(name), 1, {0x0a000002, 7560}, 0, report);
   }
@@ -49,6 +50,8 @@
   std::uint64_t stamp = 0;
   std::vector<std::uint32_t> gone;
   std::uint32_t knows = 0;
+  std::uint64_t digest = 0;
+  std::uint64_t knowers = 0;
   peer_directory known;
 };
 
@@ -121,16 +124,43 @@
   BOOST_TEST(all.known.members(all.now).size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(what_hubs_have_heard_counts) {
+BOOST_AUTO_TEST_CASE(all_that_are_listed_have_to_know_of_a_change) {
   fleet all(40);
-  for (int i = 1; i < 30; ++i) {
+  std::vector<store_api::member_record> listed;
+  std::uint64_t south_sum = 0;
+  for (int i = 0; i < 40; ++i) {
+    auto number = std::to_string(i);
+    listed.push_back(record("n" + number, north));
+    listed.push_back(record("s" + number, south));
+    south_sum += stable_hash("s" + number);
+  }
+  BOOST_TEST(!all.known.all_know(listed, 9));
+  all.digest = 9;
+  for (int i = 1; i < 40; ++i) {
     all.hear("n" + std::to_string(i), north, scope::self);
   }
-  BOOST_TEST(all.known.heard_within(all.now, 1800ms) == 29U);
+  // Nobody speaks for the other domain yet, then one who misses a member.
+  BOOST_TEST(!all.known.all_know(listed, 9));
+  all.knowers = south_sum - stable_hash("s3");
+  all.hear("s1", south, scope::domain);
+  BOOST_TEST(!all.known.all_know(listed, 9));
+  all.knowers = south_sum;
   all.hear("s1", south, scope::domain);
-  BOOST_TEST(all.known.heard_within(all.now, 1800ms) == 29U + 1U + 40U);
-  all.now += 1s;
-  BOOST_TEST(all.known.heard_within(all.now, 1800ms) == 0U);
+  BOOST_TEST(all.known.all_know(listed, 9));
+  // A new process of one of them knows nothing of it.
+  all.digest = 0;
+  all.hear("n7", north, scope::self);
+  BOOST_TEST(!all.known.all_know(listed, 9));
+  std::uint64_t north_sum = 0;
+  for (int i = 0; i < 40; ++i)
+    north_sum += stable_hash("n" + std::to_string(i));
+  BOOST_TEST(all.known.knowers(9) == north_sum - stable_hash("n7"));
+  // One of a domain that was never heard of.
+  all.digest = 9;
+  all.hear("n7", north, scope::self);
+  BOOST_TEST(all.known.all_know(listed, 9));
+  listed.push_back(record("e1", domain_id("east")));
+  BOOST_TEST(!all.known.all_know(listed, 9));
 }
 
 BOOST_AUTO_TEST_CASE(records_of_the_living_are_kept) {
--- a/test/proxy-guards-test.cc
+++ b/test/proxy-guards-test.cc
@@ -4,7 +4,6 @@
 #include "toucanmux/proxy/config-proof.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/inet-address.h"
-#include "toucanmux/proxy/partition-guard.h"
 #include "toucanmux/proxy/session-values.h"
 
 using namespace toucanmux;
@@ -22,20 +21,6 @@
   BOOST_TEST(proof.holds(instant{14s}));
 }
 
-BOOST_AUTO_TEST_CASE(the_losing_side_of_a_partition_stops_writing) {
-  partition_guard guard(partition_guard::settings{});
-  guard.store_answered(instant{10s});
-  // The store is away for all: whoever hears most peers goes on.
-  BOOST_TEST(guard.may_write(instant{20s}, 7, 15));
-  // Seven of fifteen, and no store.
-  BOOST_TEST(guard.may_write(instant{11s}, 6, 15));
-  BOOST_TEST(!guard.may_write(instant{12s}, 6, 15));
-  guard.store_answered(instant{12s});
-  BOOST_TEST(guard.may_write(instant{12s}, 0, 15));
-  // Half of them is no majority.
-  BOOST_TEST(!guard.may_write(instant{20s}, 6, 14));
-}
-
 BOOST_AUTO_TEST_CASE(a_configuration_finds_routes_keys_and_groups) {
   route to;
   to.database = "ledger-a";
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -298,6 +298,42 @@
   until([&] { return begins(caller->ask("QUERY 3 PUT 1a4 x"), "ROW"); });
 }
 
+// It says that it leads, in discovery as well, until it is told otherwise.
+BOOST_AUTO_TEST_CASE(a_replaced_leader_that_goes_on_gets_nothing) {
+  until([&] { return ready(); });
+  auto caller = connect();
+  caller->ask("QUERY 1 PUT 1a4 x");
+  store.put("toucanmux-duties", "ledger",
+            R"({"token":1,"holder":"edge-9","replaces":"i-1",
+                "phase":"settled","leader":"i-2"})");
+  second.leads = true;
+  pass(3s);
+  caller->ask("QUERY 2 PUT 1a4 x");
+  caller->ask("QUERY 3 FETCH 1a4");
+  BOOST_TEST(first.number == 101U);
+  BOOST_TEST(first.ran().size() == 1U);
+  BOOST_TEST(second.number == 101U);
+}
+
+// Another instance that reaches the store may replace the leader.
+BOOST_AUTO_TEST_CASE(without_the_store_the_lead_is_not_taken_for_granted) {
+  process.reset();
+  settings.revoke_bound = 30s;
+  process = std::make_unique<proxy_process>(loop, settings, "");
+  process->start();
+  until([&] { return ready(); });
+  auto caller = connect();
+  caller->ask("QUERY 1 PUT 1a4 x");
+  store.silent = true;
+  pass(3500ms);
+  BOOST_TEST(begins(caller->ask("QUERY 2 PUT 1a4 x"), "ERR BUSY"));
+  BOOST_TEST(begins(caller->ask("QUERY 3 FETCH 1a4"), "ERR BUSY"));
+  BOOST_TEST(first.number == 101U);
+  BOOST_TEST(first.ran().size() == 1U);
+  store.silent = false;
+  until([&] { return begins(caller->ask("QUERY 4 PUT 1a4 x"), "ROW"); });
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_leader_is_replaced_before_it_goes) {
   until([&] { return ready(); });
   auto caller = connect();
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -149,6 +149,14 @@
       stream_.send(rows.empty() ? "DO" : rows);
       return stream_.finish();
     }
+    if (database_.hold_answers) {
+      database_.held_answers_.emplace_back([this, rows] { send(rows); });
+      return;
+    }
+    send(rows);
+  }
+
+  void send(const std::string& rows) {
     stream_.send(rows + "DONE sig." + database_.id_ + "\r\n");
     ready();
   }
@@ -191,6 +199,13 @@
       std::make_unique<session>(*this, descriptor, ++accepted_));
 }
 
+void line_database::release_answers() {
+  hold_answers = false;
+  auto held = std::move(held_answers_);
+  held_answers_.clear();
+  for (const auto& send : held) send();
+}
+
 void line_database::reset_all() {
   while (!sessions_.empty()) sessions_.front()->end();
 }
--- a/test/standin/proxy/line-database.h
+++ b/test/standin/proxy/line-database.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -29,6 +30,8 @@
   /// Every line that came, with the number of its connection before it.
   const std::vector<std::string>& lines() const { return lines_; }
   std::size_t connections() const { return sessions_.size(); }
+  /// Sends the answers that were held, and holds no more.
+  void release_answers();
   /// Breaks every connection.
   void reset_all();
 
@@ -38,6 +41,7 @@
   bool silent = false;          ///< Reads, and answers nothing.
   unsigned lost_answers = 0;    ///< Runs that many and loses the answers.
   unsigned broken_answers = 0;  ///< Runs that many and breaks off midway.
+  bool hold_answers = false;    ///< Runs, and answers when released.
   std::string refuse_with;      ///< Answers statements with this code.
 
  private:
@@ -50,6 +54,7 @@
   std::string group_;
   std::uint64_t accepted_ = 0;
   std::list<std::unique_ptr<session>> sessions_;
+  std::vector<std::function<void()>> held_answers_;
   std::vector<std::string> ran_;
   std::vector<std::string> lines_;
   tcp_listener listener_;
--- a/test/standin/proxy/session-fixture.cc
+++ b/test/standin/proxy/session-fixture.cc
@@ -2,6 +2,7 @@
 
 #include "proxy/let-go.h"
 #include "standin/proxy/loopback.h"
+#include "toucanmux/hash.h"
 
 namespace toucanmux::standin {
 
@@ -42,8 +43,9 @@
       state(loop, make_settings()) {
   first.leads = true;
   auto& own = state.groups[ledger];
-  own = std::make_unique<upstream_group>(
-      loop, state.log, ledger, state.settings.self, domain_id("a"), 1200ms, 7s);
+  own = std::make_unique<upstream_group>(loop, state.log, ledger,
+                                         state.settings.self, domain_id("a"),
+                                         state.leases, 1200ms, 7s);
   configure({"key-1"});
   own->set_entry(first.entry());
   own->set_entry(second.entry());
@@ -51,6 +53,7 @@
   own->set_members(
       std::make_shared<const std::vector<member_id>>(1, state.settings.self));
   state.proof.prove(loop.now());
+  renew_leases();
   listener_ = std::make_unique<tcp_listener>(
       loop, inet_address{loopback, 0}, [this](int descriptor) {
         sessions_.emplace_back(new client_session(state, *this, descriptor));
@@ -80,6 +83,18 @@
   group().set_policy(policy);
 }
 
+void session_fixture::renew_leases() {
+  state.leases.admit(loop.now());
+  state.leases.take_list(loop.now(), loop.now(), {});
+}
+
+void session_fixture::lead(const std::string& database, lead_phase phase) {
+  state.leases.take(loop.now(), {group().hash(), ++lead_revision_, phase,
+                                 short_hash(database), 0});
+  renew_leases();
+  group().tick();
+}
+
 std::unique_ptr<line_client> session_fixture::connect(const std::string& name,
                                                       const std::string& key) {
   auto out = std::make_unique<line_client>(loop, listener_->address());
--- a/test/standin/proxy/session-fixture.h
+++ b/test/standin/proxy/session-fixture.h
@@ -28,6 +28,10 @@
                                        const std::string& key = "key-1");
   /// Puts the configuration in force anew, with these keys.
   void configure(std::vector<std::string> keys);
+  /// The leases hold from now on.
+  void renew_leases();
+  /// The store's record of the group's leader, proven just now.
+  void lead(const std::string& database, lead_phase phase);
   /// Turns the loop for this long, with the group's tick.
   void pass(duration length);
   upstream_group& group() { return *state.groups.begin()->second; }
@@ -44,6 +48,7 @@
   std::vector<session_ptr> sessions_;
   std::unique_ptr<tcp_listener> listener_;
   std::uint64_t version_ = 0;
+  std::uint64_t lead_revision_ = 0;
 };
 
 }  // namespace toucanmux::standin
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -7,6 +7,7 @@
 
 #include "toucanmux/codec.h"
 #include "toucanmux/error.h"
+#include "toucanmux/hash.h"
 #include "toucanmux/process/datagram.h"
 #include "toucanmux/proxy/peer-message.h"
 
@@ -119,24 +120,59 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_duty_is_taken_under_a_condition) {
-  write_duty what{group_id("ledger"), 8, member_id("edge-1"),
-                  database_id("i-1"), 412};
+  write_duty what{group_id("ledger"),
+                  8,
+                  member_id("edge-1"),
+                  database_id("i-1"),
+                  412,
+                  lead_phase::named,
+                  database_id("i-2"),
+                  database_id("i-2")};
   auto call = store_api::write_duty(what);
   BOOST_TEST(call.method == "PUT");
   BOOST_TEST(call.body.find("\"revision\":412") != std::string::npos);
   what.revision = 0;
   BOOST_TEST(store_api::write_duty(what).method == "POST");
   http_result result;
-  BOOST_TEST((store_api::parse_duty_outcome(result) == duty_outcome::unknown));
+  auto outcome = [&] { return store_api::parse_duty_outcome(result).outcome; };
+  BOOST_TEST((outcome() == duty_outcome::unknown));
   result.answered = true;
   result.status = 409;
-  BOOST_TEST((store_api::parse_duty_outcome(result) == duty_outcome::lost));
+  BOOST_TEST((outcome() == duty_outcome::lost));
   result.status = 200;
   result.body = R"({"meta":{"name":"ledger","revision":413},
-      "spec":{"holder":"edge-1","token":8,"replaces":"i-1"}})";
-  BOOST_TEST(store_api::holds_duty(result, what));
+      "spec":{"holder":"edge-1","token":8,"replaces":"i-1","phase":"named",
+              "leader":"i-2","order":"i-2"}})";
+  BOOST_TEST((outcome() == duty_outcome::taken));
+  BOOST_TEST(store_api::parse_duty_outcome(result).revision == 413U);
+  auto by_read = [&] { return store_api::outcome_by_read(result, what); };
+  BOOST_TEST((by_read().outcome == duty_outcome::taken));
+  BOOST_TEST(by_read().revision == 413U);
+  // An earlier write of the same holder and token is another one.
+  what.phase = lead_phase::settled;
+  BOOST_TEST((by_read().outcome == duty_outcome::unknown));
+  what.phase = lead_phase::named;
   what.holder = member_id("edge-2");
-  BOOST_TEST(!store_api::holds_duty(result, what));
+  BOOST_TEST((by_read().outcome == duty_outcome::unknown));
+}
+
+BOOST_AUTO_TEST_CASE(duties_come_as_records_of_leaders) {
+  auto found = store_api::parse_duties(
+      R"({"items":[{"meta":{"name":"ledger","revision":7},"spec":{"token":2,
+          "holder":"edge-1","phase":"revoked","leader":"i-1"}},
+          {"meta":{"name":"stock","revision":9},"spec":{"token":2}},
+          5,{"spec":{}}],"more":false})");
+  BOOST_REQUIRE(found.has_value());
+  BOOST_REQUIRE(found->records.size() == 2U);
+  BOOST_TEST(found->continue_after.empty());
+  const lead_record& first = found->records[0];
+  BOOST_TEST(first.group == short_hash("ledger"));
+  BOOST_TEST(first.revision == 7U);
+  BOOST_TEST((first.phase == lead_phase::revoked));
+  BOOST_TEST(first.leader == short_hash("i-1"));
+  BOOST_TEST(first.holder == short_hash("edge-1"));
+  BOOST_TEST((found->records[1].phase == lead_phase::settled));
+  BOOST_TEST(!store_api::parse_duties("[").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_new_leader_is_named_with_holder_and_token) {
@@ -166,6 +202,7 @@
     result.status = 200;
     result.body = mutate(good_entry, random);
     store_api::parse_duty(result);
+    store_api::parse_duties(mutate(page(good_entry), random));
     store_api::parse_members(mutate(page(good_entry), random));
   }
 }
--- a/test/takeover-test.cc
+++ b/test/takeover-test.cc
@@ -16,9 +16,25 @@
 constexpr instant start{10s};
 
 takeover_start goal(bool planned, unsigned sync = 0) {
-  return {group, old_leader, planned, 4, sync, {second, third}, 2};
+  takeover_start out;
+  out.group = group;
+  out.leader = old_leader;
+  out.planned = planned;
+  out.term = 4;
+  out.sync_replicas = sync;
+  out.candidates = {second, third};
+  out.replicas = 2;
+  return out;
+}
+
+takeover_start suspicion() {
+  auto out = goal(false);
+  out.suspected = true;
+  return out;
 }
 
+constexpr duty_written taken{duty_outcome::taken, 91};
+
 duty_read duty(std::uint64_t token, const member_id& holder) {
   duty_read out;
   out.reached = out.exists = true;
@@ -26,6 +42,8 @@
   out.holder = holder;
   out.replaces = old_leader;
   out.revision = 90;
+  out.phase = lead_phase::revoked;
+  out.leader = old_leader;
   return out;
 }
 
@@ -47,12 +65,37 @@
   return found->how;
 }
 
-/// Takes the duty and returns what follows.
+/// Revokes the leases and returns what follows.
+std::vector<takeover_action> revoke(takeover& change,
+                                    const takeover_start& what) {
+  change.step(start, what);
+  duty_read none;
+  none.reached = true;
+  change.step(start, none);
+  return change.step(start, taken);
+}
+
+/// The same, and all instances have given their leases up.
 std::vector<takeover_action> take_duty(takeover& change,
                                        const takeover_start& what) {
-  change.step(start, what);
-  change.step(start, duty_read{true, false, 0, {}, {}, 0});
-  return change.step(start, duty_written{duty_outcome::taken});
+  auto out = revoke(change, what);
+  return what.planned ? out : change.step(start, leases_given_up{});
+}
+
+/// The order that follows the record of the new leader.
+const name_leader* order_after(const std::vector<takeover_action>& actions,
+                               takeover& change, instant now,
+                               std::vector<takeover_action>& out) {
+  const auto* record = find<write_duty>(actions);
+  BOOST_REQUIRE(record);
+  BOOST_TEST((record->phase == lead_phase::named));
+  BOOST_TEST(record->revision == 91U);
+  auto leader = record->leader;
+  out = change.step(now, duty_written{duty_outcome::taken, 92});
+  const auto* named = find<name_leader>(out);
+  BOOST_REQUIRE(named);
+  BOOST_TEST(named->database.value == leader.value);
+  return named;
 }
 
 }  // namespace
@@ -69,24 +112,151 @@
   BOOST_REQUIRE(write);
   BOOST_TEST(write->token == 8U);
   BOOST_TEST(write->revision == 90U);
-  actions = change.step(start + 3s, duty_written{duty_outcome::taken});
+  BOOST_TEST((write->phase == lead_phase::revoked));
+  change.step(start + 3s, taken);
+  actions = change.step(start + 3s, leases_given_up{});
   BOOST_TEST(find<ask_position>(actions));
   change.step(start + 3s, seen(second, 120));
   actions = change.step(start + 3s, seen(third, 121));
-  const auto* named = find<name_leader>(actions);
-  BOOST_REQUIRE(named);
+  const auto* named = order_after(actions, change, start + 3s, actions);
   BOOST_TEST(named->database.value == third.value);
   BOOST_TEST(named->token == 8U);
+  // The record says then that no order is open any more.
   actions = change.step(start + 3s, leader_named{naming_outcome::accepted});
+  write = find<write_duty>(actions);
+  BOOST_REQUIRE(write);
+  BOOST_TEST((write->phase == lead_phase::settled));
+  BOOST_TEST(write->order.empty());
+  actions = change.step(start + 3s, duty_written{duty_outcome::taken, 93});
   BOOST_TEST((end_of(actions) == takeover_end::named));
   BOOST_TEST(!change.running());
 }
 
+// Some may not have heard of it and go on at the old leader.
+BOOST_AUTO_TEST_CASE(nobody_is_named_before_the_leases_have_run_out) {
+  takeover change({}, self);
+  auto actions = revoke(change, goal(false));
+  BOOST_TEST(actions.empty());
+  auto almost = start + lead_lease::length;
+  BOOST_TEST(change.step(almost, takeover_tick{}).empty());
+  actions = change.step(start + lead_lease::outlasted, takeover_tick{});
+  BOOST_TEST(find<ask_position>(actions));
+}
+
+// What one began that ended in the middle of it counts for the next.
+BOOST_AUTO_TEST_CASE(leases_that_were_revoked_before_are_not_waited_for_anew) {
+  takeover change({}, self);
+  auto again = goal(false);
+  again.known_revision = 90;
+  again.known_since = start - lead_lease::outlasted;
+  change.step(start, again);
+  change.step(start, duty(7, member_id("edge-9")));
+  change.step(start, taken);
+  BOOST_TEST(find<ask_position>(change.step(start, takeover_tick{})));
+  // A record of another revision proves nothing of the time between.
+  takeover other({}, self);
+  again.known_revision = 89;
+  other.step(start, again);
+  other.step(start, duty(7, self));
+  other.step(start, taken);
+  BOOST_TEST(other.step(start, takeover_tick{}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_suspicion_is_withdrawn_or_confirmed) {
+  takeover change({}, self);
+  revoke(change, suspicion());
+  auto actions = change.step(start + 1s, takeover_withdrawn{});
+  const auto* write = find<write_duty>(actions);
+  BOOST_REQUIRE(write);
+  BOOST_TEST((write->phase == lead_phase::settled));
+  BOOST_TEST(write->leader.value == old_leader.value);
+  actions = change.step(start + 1s, duty_written{duty_outcome::taken, 92});
+  BOOST_TEST((end_of(actions) == takeover_end::given_back));
+  // Given up by all, and not confirmed.
+  revoke(change, suspicion());
+  BOOST_TEST(change.step(start, leases_given_up{}).empty());
+  BOOST_TEST(change.step(start + 3500ms, takeover_tick{}).empty());
+  actions = change.step(start + 3500ms, takeover_confirmed{});
+  BOOST_TEST(find<ask_position>(actions));
+  // Positions have been asked for: it is too late to turn back.
+  BOOST_TEST(change.step(start + 3500ms, takeover_withdrawn{}).empty());
+  // Nothing ever says more.
+  takeover other({}, self);
+  revoke(other, suspicion());
+  actions = other.step(start + 5s, takeover_tick{});
+  BOOST_REQUIRE(find<write_duty>(actions));
+  BOOST_TEST((find<write_duty>(actions)->phase == lead_phase::settled));
+}
+
+// After a pause another instance may have gone on with a higher token.
+BOOST_AUTO_TEST_CASE(an_order_is_given_soon_after_its_record_or_never) {
+  takeover change({}, self);
+  take_duty(change, goal(false));
+  change.step(start, seen(second, 120));
+  change.step(start, seen(third, 121));
+  auto actions =
+      change.step(start + 1500ms, duty_written{duty_outcome::taken, 92});
+  BOOST_TEST(!find<name_leader>(actions));
+  BOOST_TEST((end_of(actions) == takeover_end::not_named));
+}
+
+// Where nobody checks tokens it may be carried out seconds later and undo what
+// came after it.
+BOOST_AUTO_TEST_CASE(an_order_without_an_answer_is_given_again) {
+  takeover::settings unchecked;
+  unchecked.tokens_checked = false;
+  auto open = duty(7, member_id("edge-9"));
+  open.phase = lead_phase::named;
+  open.leader = open.order = second;
+  auto after = [&](const takeover::settings& values, duration age) {
+    takeover change(values, self);
+    auto again = goal(false);
+    again.known_revision = 90;
+    again.known_since = start - age;
+    change.step(start, again);
+    auto actions = change.step(start, open);
+    BOOST_REQUIRE(find<write_duty>(actions));
+    bool kept = !find<write_duty>(actions)->order.empty();
+    change.step(start, taken);
+    change.step(start, leases_given_up{});
+    change.step(start, seen(second, 120));
+    actions = change.step(start, seen(third, 121));
+    BOOST_REQUIRE(find<write_duty>(actions));
+    auto chosen = find<write_duty>(actions)->leader;
+    BOOST_TEST(kept == (chosen == second));
+    return chosen;
+  };
+  BOOST_TEST(after(unchecked, 3s).value == second.value);
+  BOOST_TEST(after(unchecked, 9s).value == third.value);
+  BOOST_TEST(after({}, 3s).value == third.value);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_order_leaves_the_choice_open) {
+  takeover::settings unchecked;
+  unchecked.tokens_checked = false;
+  takeover change(unchecked, self);
+  take_duty(change, goal(false));
+  change.step(start, seen(second, 120));
+  auto actions = change.step(start, seen(third, 121));
+  order_after(actions, change, start, actions);
+  actions = change.step(start, leader_named{naming_outcome::refused});
+  BOOST_TEST((end_of(actions) == takeover_end::not_named));
+  change.step(start, goal(false));
+  auto open = duty(8, self);
+  open.phase = lead_phase::named;
+  open.leader = open.order = third;
+  open.revision = 92;
+  actions = change.step(start, open);
+  BOOST_REQUIRE(find<write_duty>(actions));
+  BOOST_TEST(find<write_duty>(actions)->token == 9U);
+  BOOST_TEST(find<write_duty>(actions)->order.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_token_whose_write_has_no_answer_is_never_used) {
   takeover change({}, self);
   change.step(start, goal(false));
   change.step(start, duty(7, self));
-  auto actions = change.step(start, duty_written{duty_outcome::unknown});
+  auto actions = change.step(start, duty_written{duty_outcome::unknown, 0});
   BOOST_TEST((end_of(actions) == takeover_end::no_duty));
   BOOST_TEST(!find<name_leader>(actions));
 }
@@ -95,7 +265,7 @@
   takeover change({}, self);
   change.step(start, goal(false));
   change.step(start, duty(7, self));
-  auto actions = change.step(start, duty_written{duty_outcome::lost});
+  auto actions = change.step(start, duty_written{duty_outcome::lost, 0});
   BOOST_TEST((end_of(actions) == takeover_end::yielded));
 }
 
@@ -112,17 +282,45 @@
   change.step(start, seen(second, 120));
   BOOST_TEST(change.step(start + 200ms, takeover_tick{}).empty());
   auto actions = change.step(start + 400ms, takeover_tick{});
-  BOOST_REQUIRE(find<name_leader>(actions));
-  BOOST_TEST(find<name_leader>(actions)->database.value == second.value);
+  const auto* named = order_after(actions, change, start + 400ms, actions);
+  BOOST_TEST(named->database.value == second.value);
 }
 
 BOOST_AUTO_TEST_CASE(with_no_answer_at_all_nobody_is_named) {
   takeover change({}, self);
   take_duty(change, goal(false));
   auto actions = change.step(start + 400ms, takeover_tick{});
+  BOOST_TEST(!find<name_leader>(actions));
+  // Some may still reach the old leader: it has not stepped down.
+  BOOST_REQUIRE(find<write_duty>(actions));
+  BOOST_TEST(find<write_duty>(actions)->leader.value == old_leader.value);
+  BOOST_TEST((find<write_duty>(actions)->phase == lead_phase::settled));
+  actions = change.step(start, duty_written{duty_outcome::lost, 0});
+  BOOST_TEST((end_of(actions) == takeover_end::given_back));
+}
+
+// It has stepped down, so it can't lead on either.
+BOOST_AUTO_TEST_CASE(a_planned_change_without_a_candidate_gives_nothing_back) {
+  takeover change({}, self);
+  take_duty(change, goal(true));
+  change.step(start, seen(old_leader, 130));
+  auto actions = change.step(start + 900ms, takeover_tick{});
   BOOST_TEST((end_of(actions) == takeover_end::no_candidate));
 }
 
+BOOST_AUTO_TEST_CASE(a_leader_that_does_not_step_down_is_told_again) {
+  takeover change({}, self);
+  take_duty(change, goal(true));
+  position_seen newer{old_leader, true, true, 6, {6, 130}};
+  auto actions = change.step(start, newer);
+  BOOST_REQUIRE(find<step_down>(actions));
+  BOOST_TEST(find<step_down>(actions)->term == 7U);
+  BOOST_TEST(change.step(start + 2s, takeover_tick{}).empty());
+  // Its silence is no proof either: the leases have to run out.
+  actions = change.step(start + lead_lease::outlasted, takeover_tick{});
+  BOOST_TEST(find<ask_position>(actions));
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_change_waits_until_a_replica_has_everything) {
   takeover change({}, self);
   auto actions = take_duty(change, goal(true));
@@ -137,8 +335,8 @@
   actions = change.step(start + 100ms, takeover_tick{});
   BOOST_TEST(find<ask_position>(actions));
   actions = change.step(start + 110ms, seen(third, 130));
-  BOOST_REQUIRE(find<name_leader>(actions));
-  BOOST_TEST(find<name_leader>(actions)->database.value == third.value);
+  const auto* named = order_after(actions, change, start + 110ms, actions);
+  BOOST_TEST(named->database.value == third.value);
 }
 
 // With one synchronous replica of two, only both answers together are sure to
@@ -151,12 +349,15 @@
   BOOST_TEST(fence->term == 5U);
   change.step(start, seen(second, 120));
   actions = change.step(start + 400ms, takeover_tick{});
-  BOOST_TEST((end_of(actions) == takeover_end::no_candidate));
+  BOOST_TEST(!find<name_leader>(actions));
+  BOOST_REQUIRE(find<write_duty>(actions));
+  BOOST_TEST((find<write_duty>(actions)->phase == lead_phase::settled));
+  change.step(start, duty_written{duty_outcome::taken, 92});
   take_duty(change, goal(false, 1));
   change.step(start, seen(second, 120));
   actions = change.step(start, seen(third, 119));
-  BOOST_REQUIRE(find<name_leader>(actions));
-  BOOST_TEST(find<name_leader>(actions)->database.value == second.value);
+  const auto* named = order_after(actions, change, start, actions);
+  BOOST_TEST(named->database.value == second.value);
 }
 
 BOOST_AUTO_TEST_CASE(a_step_without_an_answer_ends_the_round) {
