Give a team's token back when nothing was sent

Cause: an operation that was refused for want of a connection or a leader had taken a token.

Change: a token is reserved and is spent with the first line that goes to a database. Peers are told of spent ones only. Ruled out: a credit that the next operation uses, which could add up to more than the burst over the fleet.

Test seen failing: what_is_refused_unsent_costs_its_team_nothing.

--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -78,6 +78,14 @@
   /// True once a settled peer was heard, or nobody was there to be heard.
   bool settled(instant now) const;
 
+  /// Takes a token for an operation that may still be refused for another
+  /// reason. Nobody is told of it before it is spent.
+  verdict reserve(instant now, const team_id& team);
+  /// The operation has been sent to a database.
+  void spend_reserved(const team_id& team);
+  /// It has not, and never will be.
+  void give_back(instant now, const team_id& team);
+  /// Reserves and spends at once.
   verdict admit(instant now, const team_id& team);
   /// Whose use a report names.
   enum class scope : std::uint8_t {
@@ -143,8 +151,9 @@
     double burst = 0;
     double level = 0;
     instant advanced;
-    bool told = false;  ///< Its level comes from a peer or from long use.
-    double recent = 0;  ///< Admitted since peers were last told.
+    bool told = false;    ///< Its level comes from a peer or from long use.
+    double recent = 0;    ///< Admitted since peers were last told.
+    double reserved = 0;  ///< Admitted and neither spent nor given back.
     std::uint32_t admitted = 0;
     std::uint32_t wanted = 0;
     std::uint32_t wanted_before = 0;
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -130,6 +130,7 @@
 
 void client_session::send(upstream_link& link) {
   run_.sent = true;
+  spend_token();
   ++run_.attempts;
   instant until = run_.deadline;
   run_.hurried = false;
@@ -421,6 +422,7 @@
   auto id = run_.id;
   end_run();
   leave_link();
+  return_token();
   refusal what{kind, why, retry_after};
   id_ = id;
   reply_failure(what);
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -36,6 +36,7 @@
   timer_.disarm();
   if (is_linked()) unlink();
   leave_link();
+  return_token();
   stream_.finish();
   keeper_.on_session_ended(*this);
 }
@@ -157,6 +158,7 @@
   transaction_ = phase::none;
   timer_.disarm();
   leave_link();
+  return_token();
   reply_done();
 }
 
@@ -228,7 +230,8 @@
     return refusal{failure_kind::busy, "keys can't be checked now",
                    unproven_retry};
   }
-  auto verdict = state_.limits.admit(now, plan->team);
+  auto verdict = state_.limits.reserve(now, plan->team);
+  token_reserved_ = verdict.admitted;
   if (verdict.admitted) return {};
   if (state_.log.takes(journal_event::refusal)) {
     auto whole = [](double value) { return static_cast<std::int64_t>(value); };
@@ -246,6 +249,18 @@
                  verdict.retry_after};
 }
 
+void client_session::spend_token() {
+  if (token_reserved_) state_.limits.spend_reserved(operation_team_);
+  token_reserved_ = false;
+}
+
+// No database has seen the operation, so its team may use the token again.
+void client_session::return_token() {
+  if (!token_reserved_) return;
+  token_reserved_ = false;
+  state_.limits.give_back(state_.loop.now(), operation_team_);
+}
+
 wire::transaction_state client_session::shown_state() const {
   if (transaction_ == phase::none) return wire::transaction_state::idle;
   if (transaction_ == phase::failed) return wire::transaction_state::failed;
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -97,6 +97,8 @@
   std::optional<refusal> begin_operation();
   std::optional<refusal> check_key(const route& to);
   bool key_still_holds();
+  void spend_token();
+  void return_token();
   void start(const session_statement& what);
   void attempt();
   bool time_is_up() const;
@@ -149,6 +151,7 @@
   route route_;
   team_id operation_team_;
   bool keyed_ = false;
+  bool token_reserved_ = false;  ///< Of its team, and nothing was sent yet.
   phase transaction_ = phase::none;
   bool read_only_ = false;  ///< The transaction only reads.
   bool wrote_ = false;      ///< It has written.
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -226,6 +226,30 @@
 }
 
 rate_ledger::verdict rate_ledger::admit(instant now, const team_id& team) {
+  auto out = reserve(now, team);
+  if (out.admitted) spend_reserved(team);
+  return out;
+}
+
+void rate_ledger::spend_reserved(const team_id& team) {
+  auto found = accounts_.find(team);
+  if (found == accounts_.end()) return;
+  account& entry = found->second;
+  entry.reserved = std::max(entry.reserved - 1, 0.0);
+  ++entry.admitted;
+}
+
+void rate_ledger::give_back(instant now, const team_id& team) {
+  auto found = accounts_.find(team);
+  if (found == accounts_.end()) return;
+  account& entry = found->second;
+  advance(now, entry);
+  entry.reserved = std::max(entry.reserved - 1, 0.0);
+  entry.recent = std::max(entry.recent - 1, 0.0);
+  entry.level = std::min(entry.level + 1, entry.burst);
+}
+
+rate_ledger::verdict rate_ledger::reserve(instant now, const team_id& team) {
   auto found = accounts_.find(team);
   if (found == accounts_.end()) return {false, std::chrono::seconds(1)};
   if (now - refreshed_ >= refresh_interval()) refresh(now);
@@ -241,7 +265,7 @@
   if (out.admitted) {
     entry.level -= 1;
     entry.recent += 1;
-    ++entry.admitted;
+    entry.reserved += 1;
   } else {
     out.retry_after = next_token(entry);
   }
@@ -273,7 +297,7 @@
 }
 
 void rate_ledger::reported() {
-  for (auto& [team, entry] : accounts_) entry.recent = 0;
+  for (auto& [team, entry] : accounts_) entry.recent = entry.reserved;
 }
 
 std::vector<team_use> rate_ledger::report(bool all, scope whose) const {
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -371,6 +371,24 @@
   BOOST_TEST(first.leads);
 }
 
+BOOST_AUTO_TEST_CASE(what_is_refused_unsent_costs_its_team_nothing) {
+  team_plan small{team_id("glaziers"), 0.1, 2, {"key-1"}};
+  state.limits.configure(loop.now(), std::span(&small, 1));
+  auto caller = connect("orders");
+  state.leases = lead_lease();
+  for (int i = 0; i < 20; ++i) {
+    auto answer = caller->ask("QUERY 1 PUT 1a4 x");
+    BOOST_TEST(answer.find("no database can serve") != std::string::npos);
+    caller->ask("QUERY 2 BEGIN");
+    BOOST_TEST(begins(caller->ask("QUERY 3 PUT 1a4 x"), "ERR ABORTED"));
+    caller->ask("QUERY 4 ROLLBACK");
+    caller->ask("QUERY 5 BEGIN");
+    caller->ask("QUERY 6 ROLLBACK");
+  }
+  renew_leases();
+  BOOST_TEST(begins(caller->ask("QUERY 7 PUT 1a4 x"), "ROW"));
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_database_is_suspended_and_comes_back) {
   auto holder = hold_leader(*this);
   auto caller = connect("stock");
--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -595,6 +595,35 @@
   BOOST_TEST(ledger.admit(now + 900ms, team).admitted);
 }
 
+// After a loss of power teams ran out of tokens for what no database had seen.
+BOOST_AUTO_TEST_CASE(a_token_that_is_given_back_serves_the_next_operation) {
+  rate_ledger ledger;
+  auto plan = plan_of(2, 3);
+  instant now{1s};
+  ledger.configure(now, std::span(&plan, 1));
+  now += 10s;
+  for (int i = 0; i < 50; ++i) {
+    BOOST_REQUIRE(ledger.reserve(now, team).admitted);
+    ledger.give_back(now, team);
+  }
+  // Peers are told of what was spent, and not before.
+  BOOST_TEST(ledger.reserve(now, team).admitted);
+  BOOST_TEST(ledger.report(true)[0].admitted == 0U);
+  ledger.spend_reserved(team);
+  BOOST_TEST(ledger.report(true)[0].admitted == 1U);
+  ledger.admit(now, team);
+  ledger.admit(now, team);
+  BOOST_TEST(!ledger.admit(now, team).admitted);
+  // Never more than the burst comes of it.
+  now += 10s;
+  BOOST_TEST(ledger.reserve(now, team).admitted);
+  now += 10s;
+  ledger.give_back(now, team);
+  int admitted = 0;
+  while (ledger.admit(now, team).admitted) ++admitted;
+  BOOST_TEST(admitted == 3);
+}
+
 BOOST_AUTO_TEST_CASE(own_use_is_found_again_in_the_sums) {
   others_use others;
   team_use own{1, 500, 500, 0.0F};
