Go on at once with the next read of a start

Change: the configuration's arrival starts the list of databases, that of the own record the read of leaders. No further calls.

--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -154,10 +154,15 @@
   note_store(good || absent, "config");
   if (absent) config_reads_.absent();
   if (!good) return;
+  bool first = state_.config->version() == 0;
   if (result.body != last_body_) {
     apply(result.body);
     last_body_ = std::move(result.body);
   }
+  // The groups are known now, so their databases are listed.
+  if (first && state_.config->version() != 0) {
+    state_.loop.defer([this] { tick(); });
+  }
   bool newer_elsewhere = peers_.config_is_newer_elsewhere();
   config_reads_.found(state_.loop.now(), age, newer_elsewhere);
   if (state_.config->version() == 0) return;
@@ -480,7 +485,9 @@
   forget_unrecorded();
   members_listed_ = true;
   next_check_ = state_.loop.now() + check_interval;
-  if (!registered_ && age == read_age::seconds_old) register_self();
+  if (!registered_ && age == read_age::seconds_old) return register_self();
+  // The leaders are read once the own record is known.
+  if (!state_.leases.proven()) tick();
 }
 
 // Another instance has removed the records of those that are gone.
