Let replaced leaders go on in the soak

In runs with an odd seed a database that was replaced goes on for 0.5 to 4 s, or until it is told to step down; a write that it ran meanwhile must not be acknowledged.

--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -25,6 +25,7 @@
     plan.seed = static_cast<std::uint32_t>(std::stoul(seed));
     plan.seconds = std::stoi(seconds);
     plan.instances = std::stoi(instances);
+    plan.leaders_go_on = plan.seed % 2 == 1;
     plan.callers = plan.instances * 6;
     event_loop loop;
     soak::soak_world world(loop, plan);
--- a/test/soak/soak-plan.h
+++ b/test/soak/soak-plan.h
@@ -13,6 +13,9 @@
   int seconds = 20;
   int instances = 4;
   int callers = 24;
+  /// A leader that was replaced goes on until it is told to step down, or for
+  /// seconds.
+  bool leaders_go_on = false;
   std::string folder;  ///< Where settings are written for the script.
 };
 
--- a/test/soak/soak-world.cc
+++ b/test/soak/soak-world.cc
@@ -154,10 +154,12 @@
       fail("a leader was named that does not exist: " + body);
       continue;
     }
+    give_up(*named);
     std::uint64_t end = 0;
     for (auto& one : databases_) {
-      end = std::max(end, one.server->number);
-      one.server->leads = false;
+      bool follows = !one.replaced_after;
+      if (follows) end = std::max(end, one.server->number);
+      if (&one != &*named) replace(one);
     }
     named->server->leads = true;
     named->server->number = end;
@@ -165,8 +167,37 @@
   }
   // Replicas follow at once; how late they are is not what is tested here.
   std::uint64_t end = 0;
-  for (const auto& one : databases_) end = std::max(end, one.server->number);
-  for (auto& one : databases_) one.server->number = end;
+  for (const auto& one : databases_) {
+    if (!one.replaced_after) end = std::max(end, one.server->number);
+  }
+  for (auto& one : databases_) {
+    if (!one.replaced_after) one.server->number = end;
+  }
+}
+
+void soak_world::replace(database& what) {
+  if (!what.server->leads) return;
+  if (!plan_.leaders_go_on) {
+    what.server->leads = false;
+    return;
+  }
+  if (what.replaced_after) return;
+  faults_.push_back("goes on " + what.server->entry().id.value);
+  what.replaced_after = what.server->ran().size();
+  later(milliseconds(draw(random_, 500, 4000)), [this, &what] {
+    if (what.replaced_after) give_up(what);
+  });
+}
+
+// It follows the present leader from now on, or leads again.
+void soak_world::give_up(database& what) {
+  if (!what.replaced_after) return;
+  const auto& ran = what.server->ran();
+  for (std::size_t i = *what.replaced_after; i < ran.size(); ++i) {
+    at_replaced_.insert(ran[i].substr(0, ran[i].find(' ')));
+  }
+  what.replaced_after.reset();
+  what.server->leads = false;
 }
 
 void soak_world::disturb() {
@@ -334,6 +365,9 @@
     auto runs = runs_[what.decisive];
     acknowledged += what.acknowledged ? 1 : 0;
     if (runs > 1) fail(what.decisive + " took effect twice");
+    if (what.acknowledged && at_replaced_.contains(what.decisive)) {
+      fail(what.decisive + " was acknowledged by a replaced leader");
+    }
     if (what.acknowledged && runs == 0) fail(what.decisive + " was lost");
     if (what.promised && what.decisive != what.writes.back() && runs != 0) {
       fail(what.decisive + " was committed though nothing was to be kept");
--- a/test/soak/soak-world.h
+++ b/test/soak/soak-world.h
@@ -2,7 +2,9 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,8 @@
   struct database {
     std::unique_ptr<standin::line_database> server;
     std::unique_ptr<fault_relay> relay;
+    /// Set while it goes on though it was replaced: what had run before.
+    std::optional<std::size_t> replaced_after;
   };
   struct instance {
     inet_address callers;
@@ -48,6 +52,8 @@
   void beat();
   void tick();
   void promote();
+  void replace(database& what);
+  void give_up(database& what);
   void disturb();
   void disturb_instance(int number);
   void disturb_database(database& what);
@@ -70,6 +76,7 @@
   std::vector<std::unique_ptr<soak_caller>> callers_;
   std::vector<soak_outcome> outcomes_;
   std::vector<repair> repairs_;
+  std::set<std::string> at_replaced_;  ///< Ran at a leader that was replaced.
   std::map<std::string, unsigned> runs_;       ///< By id, over all databases.
   std::map<std::string, std::string> places_;  ///< Database and connection.
   timer timer_;
