Read on from the end of the old log, and let few members read the leaders

Changes: once the order is accepted, the position of the named database is a sample as of when it was asked for it, after the end of all leases: nobody has acknowledged anything since, and what the old leader had beyond it is rolled back. Peers hear of it with the reports. Four members of a failure domain read for all when their hub's proofs are late. A lease is 2.5 s instead of 3.2.

--- a/include/toucanmux/proxy/lead-lease.h
+++ b/include/toucanmux/proxy/lead-lease.h
@@ -23,7 +23,7 @@
  public:
   /// Longer than a proof takes over two hubs to a member when reports are
   /// lost; a leader that some can't be told to leave is replaced no sooner.
-  static constexpr duration length = std::chrono::milliseconds(3200);
+  static constexpr duration length = std::chrono::milliseconds(2500);
   /// What a replacement waits for: clocks may differ in pace.
   static constexpr duration outlasted = length + length / 50;
 
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -38,8 +38,9 @@
 constexpr duration active_lasts = milliseconds(1500);
 constexpr duration oldest_shown = std::chrono::seconds(1000);
 // Records of leaders are told for so long after they became known.
-constexpr duration lead_news_last = std::chrono::seconds(4);
+constexpr duration lead_news_last = std::chrono::seconds(3);
 constexpr std::size_t most_leads = 24;
+constexpr std::ptrdiff_t scouts = 4;
 // What a record takes of a datagram.
 constexpr std::size_t lead_bytes = 21;
 // A silent peer hears from this instance less often.
@@ -148,6 +149,12 @@
   return peers_.reader(state_.loop.now()) == nullptr;
 }
 
+bool peer_service::scouts_for_domain() const {
+  auto own = std::find(near_members_.begin(), near_members_.end(),
+                       state_.settings.self);
+  return own - near_members_.begin() < scouts;
+}
+
 bool peer_service::reads_for_all() const {
   return peers_.goes_before_hubs(state_.loop.now());
 }
@@ -353,9 +360,10 @@
   bool mesh = peers_.own_role() == role::mesh;
   auto near = domain ? peers_.size_of(now, state_.settings.domain) + 1 : 1;
   for (const auto& [id, group] : state_.groups) {
-    auto position = shares_positions_ && !domain
-                        ? position_of(*group)
-                        : std::optional<group_position>();
+    bool told =
+        (shares_positions_ && !domain) || group->went_on_within(lead_news_last);
+    auto position =
+        told ? position_of(*group) : std::optional<group_position>();
     if (position) out.positions.items.push_back(*position);
     // Sightings matter only where somebody finds the leader failing.
     if (!mesh && !group->watch().disputed(now)) continue;
@@ -535,7 +543,8 @@
                                              group.samples().newest_time());
   if (age > position_samples::keep) return {};
   return group_position{group.hash(), *newest,
-                        static_cast<std::uint32_t>(age.count())};
+                        static_cast<std::uint32_t>(age.count()),
+                        group.went_on_within(lead_news_last)};
 }
 
 }  // namespace toucanmux
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -51,6 +51,9 @@
   /// Whether this instance follows the store for its failure domain and
   /// probes the leaders for it.
   bool reads_for_domain() const;
+  /// Whether this member looks for itself when its hub's proofs are late. What
+  /// a few of them find comes to all by the hub.
+  bool scouts_for_domain() const;
   /// Whether it goes before the hubs of all failure domains.
   bool reads_for_all() const;
   peer_directory::role own_role() const { return peers_.own_role(); }
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -24,9 +24,9 @@
 constexpr duration member_read_age = milliseconds(3000);
 // Leases are shorter than the bound on withdrawn keys, so the records of
 // leaders are read sooner than the configuration where proofs are late.
-constexpr duration own_duty_age = milliseconds(1600);
-constexpr duration hub_duty_age = milliseconds(1300);
-constexpr duration member_duty_age = milliseconds(2000);
+constexpr duration own_duty_age = milliseconds(1300);
+constexpr duration hub_duty_age = domain_read_interval;
+constexpr duration member_duty_age = milliseconds(1600);
 constexpr duration retry_interval = milliseconds(400);
 // Several times the store's usual answer, so that a silent connection is
 // noticed and a slow store still serves.
@@ -69,6 +69,7 @@
     auto due = config_reads_.due(now, config_situation());
     if (due) read_config(*due);
   }
+  note_leads_elsewhere();
   if (!reading_duties_ && now >= next_duties_ && duties_are_due()) {
     duties_.clear();
     duties_asked_.reset();
@@ -219,15 +220,25 @@
     case role::member:
       break;
   }
-  return member_duty_age;
+  return peers_.scouts_for_domain() ? member_duty_age : duration::max();
 }
 
 bool store_sync::duties_are_due() const {
   const auto& leases = state_.leases;
   if (!registered_) return false;
   if (!leases.proven()) return true;
-  return leases.age(state_.loop.now()) >= duty_interval() ||
-         peers_.leads_differ_elsewhere();
+  instant now = state_.loop.now();
+  // News of a change may come by another peer first.
+  bool differs = leads_differ_since_ && now - *leads_differ_since_ > news_late;
+  return differs || leases.age(now) >= duty_interval();
+}
+
+void store_sync::note_leads_elsewhere() {
+  if (!peers_.leads_differ_elsewhere()) {
+    leads_differ_since_.reset();
+  } else if (!leads_differ_since_) {
+    leads_differ_since_ = state_.loop.now();
+  }
 }
 
 void store_sync::read_duties(const std::string& after) {
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -40,6 +40,7 @@
   config_reads::situation config_situation() const;
   void apply(std::string_view body);
   bool duties_are_due() const;
+  void note_leads_elsewhere();
   void read_duties(const std::string& after);
   void take_duties(http_result&& result);
   void list_upstreams(const std::string& after);
@@ -75,7 +76,8 @@
   instant next_read_;
   bool reading_duties_ = false;
   instant next_duties_;
-  std::vector<lead_record> duties_;      ///< Of the pages read so far.
+  std::vector<lead_record> duties_;  ///< Of the pages read so far.
+  std::optional<instant> leads_differ_since_;
   std::optional<instant> duties_asked_;  ///< When the first was asked for.
   std::string last_body_;
   bool listing_ = false;
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -351,6 +351,26 @@
   BOOST_TEST(begins(caller->answer(), "ERR UNKNOWN"));
 }
 
+// Nobody can acknowledge anything until the new leader begins.
+BOOST_AUTO_TEST_CASE(reads_go_on_before_the_new_leader_is_there) {
+  auto caller = connect("stock");
+  auto writing = connect("orders");
+  for (int i = 0; i < 9; ++i) writing->ask("QUERY 1 PUT 1a4 x");
+  BOOST_TEST(begins(caller->ask("QUERY 2 FETCH 1a4"), "ROW"));
+  // The replicas have four of the nine.
+  second.number = third.number = 104;
+  lead("i-1", lead_phase::revoked);
+  pass(1500ms);
+  BOOST_TEST(begins(caller->ask("QUERY 3 FETCH 1a4"), "ERR BUSY"));
+  auto asked = loop.now();
+  lead("i-2", lead_phase::named);
+  group().go_on_from(asked, {1, 104});
+  BOOST_TEST(begins(caller->ask("QUERY 4 FETCH 1a4"), "ROW"));
+  BOOST_TEST(begins(writing->ask("QUERY 5 PUT 1a4 x"), "ERR BUSY"));
+  pass(1500ms);
+  BOOST_TEST(begins(caller->ask("QUERY 6 FETCH 1a4"), "ERR BUSY"));
+}
+
 // The old leader may go on for seconds, and say so in discovery.
 BOOST_AUTO_TEST_CASE(a_replaced_leader_that_goes_on_is_not_served_by) {
   auto caller = connect("orders");
