Wait for the keys in the test of the keys

Reads are refused sooner now, when the lease on the leader ends; the test checks that the keys' proof ends too, as it says, before it looks at readiness.

--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -230,7 +230,12 @@
   auto caller = connect();
   store.silent = true;
   BOOST_TEST(begins(caller->ask("QUERY 1 FETCH 1"), "ROW"));
+  // The lease on the leader ends before the proof of the keys.
   until([&] { return begins(caller->ask("QUERY 2 FETCH 1"), "ERR BUSY"); });
+  until([&] {
+    return caller->ask("QUERY 2 FETCH 1").find("keys can't be checked") !=
+           std::string::npos;
+  });
   BOOST_TEST(!ready());
   store.silent = false;
   until([&] { return begins(caller->ask("QUERY 3 FETCH 1"), "ROW"); });
