Take back the reads that went on from the end of the old log

Once a successor was named, its position counted as the newest; reads ran for the second until it was promoted, at logs that lacked what callers beside the old leader had been told was committed. That it would be rolled back a second later did not make it so yet.

Ruled out: a fault of the leases: no write was acknowledged at the old leader after the promotion.

Change: the position, its messages and tests are gone; a test holds that reads wait.

--- a/include/toucanmux/proxy/position-messages.h
+++ b/include/toucanmux/proxy/position-messages.h
@@ -25,12 +25,10 @@
   std::uint32_t group = 0;  ///< The low bits of the name's stable hash.
   log_position position;
   std::uint32_t age_ms = 0;  ///< Since it was asked for; rounded up.
-  bool rolls_back = false;   ///< What was known beyond it is rolled back.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(CEREAL_NVP(group), CEREAL_NVP(position), CEREAL_NVP(age_ms),
-            CEREAL_NVP(rolls_back));
+    archive(CEREAL_NVP(group), CEREAL_NVP(position), CEREAL_NVP(age_ms));
   }
 };
 
--- a/include/toucanmux/proxy/position-samples.h
+++ b/include/toucanmux/proxy/position-samples.h
@@ -20,8 +20,6 @@
 
   /// @param asked when the question was sent whose answer proved the lead.
   void note(instant asked, const log_position& position);
-  /// The log lacks what came after this position; nobody has to see it.
-  void roll_back(const log_position& position);
   /// The lowest position that a read of this age may be served at; nothing if
   /// no sample is recent enough.
   std::optional<log_position> required(instant now, duration max_age) const;
--- a/include/toucanmux/proxy/takeover-messages.h
+++ b/include/toucanmux/proxy/takeover-messages.h
@@ -132,20 +132,12 @@
   given_back     ///< The old leader leads on.
 };
 
-/// The log goes on from here under its new leader; whatever was acknowledged
-/// beyond it is rolled back.
-struct log_continues {
-  group_id group;
-  log_position from;
-  instant asked;  ///< Nobody acknowledged anything from then on.
-};
-
 struct takeover_ended {
   takeover_end how = takeover_end::named;
 };
 
 using takeover_action =
     std::variant<read_duty, write_duty, ask_position, fence_replica, step_down,
-                 name_leader, log_continues, takeover_ended>;
+                 name_leader, takeover_ended>;
 
 }  // namespace toucanmux
--- a/include/toucanmux/proxy/takeover.h
+++ b/include/toucanmux/proxy/takeover.h
@@ -108,7 +108,6 @@
   phase phase_ = phase::idle;
   instant entered_;
   instant asked_;
-  instant first_asked_;  ///< After the end of all leases.
   takeover_start goal_;
   std::uint64_t token_ = 0;
   std::uint64_t revision_ = 0;  ///< Of the duty's object.
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -215,7 +215,6 @@
                    ask(id, what.database, link_step::step_down, what.term);
                  },
                  [&](const name_leader& what) { name(what); },
-                 [&](const log_continues& what) { go_on_from(what); },
                  [&](const takeover_ended& what) { ended(id, what.how); }},
       action);
 }
@@ -310,14 +309,6 @@
                  });
 }
 
-// Reads need not wait until the new leader can prove its position.
-void leader_service::go_on_from(const log_continues& what) {
-  auto* group = state_.find_group(what.group);
-  if (!group) return;
-  group->go_on_from(what.asked, what.from);
-  peers_.announce();
-}
-
 void leader_service::ended(const group_id& id, takeover_end how) {
   watched& what = groups_.at(id);
   what.rest_until = state_.loop.now() +
--- a/src/proxy/leader-service.h
+++ b/src/proxy/leader-service.h
@@ -61,7 +61,6 @@
   void list_holders(const group_id& id);
   void take_holders(const group_id& id, const http_result& result);
   void name(const name_leader& what);
-  void go_on_from(const log_continues& what);
   void ended(const group_id& id, takeover_end how);
 
   proxy_state& state_;
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -183,9 +183,7 @@
   for (const auto& item : positions) {
     auto* group = state_.find_group(item.group);
     if (!group) continue;
-    auto known = asked - milliseconds(item.age_ms);
-    if (item.rolls_back) group->go_on_from(known, item.position);
-    group->take_sample(known, item.position);
+    group->take_sample(asked - milliseconds(item.age_ms), item.position);
   }
 }
 
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -360,10 +360,9 @@
   bool mesh = peers_.own_role() == role::mesh;
   auto near = domain ? peers_.size_of(now, state_.settings.domain) + 1 : 1;
   for (const auto& [id, group] : state_.groups) {
-    bool told =
-        (shares_positions_ && !domain) || group->went_on_within(lead_news_last);
-    auto position =
-        told ? position_of(*group) : std::optional<group_position>();
+    auto position = shares_positions_ && !domain
+                        ? position_of(*group)
+                        : std::optional<group_position>();
     if (position) out.positions.items.push_back(*position);
     // Sightings matter only where somebody finds the leader failing.
     if (!mesh && !group->watch().disputed(now)) continue;
@@ -543,8 +542,7 @@
                                              group.samples().newest_time());
   if (age > position_samples::keep) return {};
   return group_position{group.hash(), *newest,
-                        static_cast<std::uint32_t>(age.count()),
-                        group.went_on_within(lead_news_last)};
+                        static_cast<std::uint32_t>(age.count())};
 }
 
 }  // namespace toucanmux
--- a/src/proxy/position-samples.cc
+++ b/src/proxy/position-samples.cc
@@ -20,14 +20,6 @@
   }
 }
 
-void position_samples::roll_back(const log_position& position) {
-  for (auto& entry : samples_) {
-    // What another leader has acknowledged since is not touched.
-    bool beyond = entry.position.term <= position.term;
-    if (beyond && position < entry.position) entry.position = position;
-  }
-}
-
 std::optional<log_position> position_samples::required(instant now,
                                                        duration max_age) const {
   instant earliest = now - max_age + margin;
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -162,12 +162,6 @@
 void takeover::on(instant now, const leader_named& what) {
   if (phase_ != phase::naming) return;
   if (what.outcome == naming_outcome::accepted) {
-    auto known = answers_.find(chosen_);
-    // One that leads already goes on in its term; nothing is rolled back.
-    if (known != answers_.end() && !known->second.leads) {
-      actions_.emplace_back(
-          log_continues{goal_.group, known->second.received, first_asked_});
-    }
     if (!repeats_ || settings_.tokens_checked) open_order_ = {};
     return write(now, phase::settling, lead_phase::settled, chosen_);
   }
@@ -213,7 +207,7 @@
 
 void takeover::ask_all(instant now) {
   enter(now, phase::asking);
-  asked_ = first_asked_ = now;
+  asked_ = now;
   for (const auto& id : goal_.candidates) {
     // With synchronous replicas an old leader may still acknowledge by one
     // that is not fenced.
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -294,16 +294,6 @@
   schedule_serve();
 }
 
-void upstream_group::go_on_from(instant asked, const log_position& position) {
-  bool news = asked > samples_.newest_time();
-  samples_.roll_back(position);
-  samples_.note(asked, position);
-  if (!news) return;
-  went_on_ = loop_.now();
-  went_on_from_ = position;
-  schedule_serve();
-}
-
 // A term that nobody had before was begun by the database that is named.
 void upstream_group::take_sample(instant asked, const log_position& position) {
   samples_.note(asked, position);
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -87,14 +87,6 @@
   /// A sample of the leader's position that a peer has proven.
   void take_sample(instant asked, const log_position& position);
   const position_samples& samples() const { return samples_; }
-  /// The log goes on from this position under another leader.
-  void go_on_from(instant asked, const log_position& position);
-  /// The newest sample is that position, learnt so lately that peers may not
-  /// know it.
-  bool went_on_within(duration age) const {
-    return went_on_ && loop_.now() - *went_on_ < age &&
-           samples_.newest() == went_on_from_;
-  }
   leader_watch& watch() { return watch_; }
   /// How long an answer of this database usually takes at the most.
   duration patience(std::size_t index) const;
@@ -183,8 +175,6 @@
   std::vector<std::unique_ptr<upstream>> upstreams_;
   waiting_list waiting_;
   position_samples samples_;
-  std::optional<instant> went_on_;  ///< When another leader's start was told.
-  std::optional<log_position> went_on_from_;
   leader_watch watch_;
   std::optional<database_id> last_leader_;
   std::uint64_t record_revision_ = 0;  ///< Of the record that was seen last.
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -351,24 +351,22 @@
   BOOST_TEST(begins(caller->answer(), "ERR UNKNOWN"));
 }
 
-// Nobody can acknowledge anything until the new leader begins.
-BOOST_AUTO_TEST_CASE(reads_go_on_before_the_new_leader_is_there) {
+// A replica may lack what the old leader acknowledged to others, also once the
+// successor is named; the hunt's lead-under-cuts broke STALE 83 times by it.
+BOOST_AUTO_TEST_CASE(reads_wait_for_the_new_leaders_position) {
   auto caller = connect("stock");
   auto writing = connect("orders");
   for (int i = 0; i < 9; ++i) writing->ask("QUERY 1 PUT 1a4 x");
   BOOST_TEST(begins(caller->ask("QUERY 2 FETCH 1a4"), "ROW"));
-  // The replicas have four of the nine.
-  second.number = third.number = 104;
   lead("i-1", lead_phase::revoked);
   pass(1500ms);
   BOOST_TEST(begins(caller->ask("QUERY 3 FETCH 1a4"), "ERR BUSY"));
-  auto asked = loop.now();
   lead("i-2", lead_phase::named);
-  group().go_on_from(asked, {1, 104});
-  BOOST_TEST(begins(caller->ask("QUERY 4 FETCH 1a4"), "ROW"));
-  BOOST_TEST(begins(writing->ask("QUERY 5 PUT 1a4 x"), "ERR BUSY"));
-  pass(1500ms);
-  BOOST_TEST(begins(caller->ask("QUERY 6 FETCH 1a4"), "ERR BUSY"));
+  BOOST_TEST(begins(caller->ask("QUERY 4 FETCH 1a4"), "ERR BUSY"));
+  second.leads = true;
+  second.number = 104;
+  pass(700ms);
+  BOOST_TEST(begins(caller->ask("QUERY 5 FETCH 1a4"), "ROW"));
 }
 
 // The old leader may go on for seconds, and say so in discovery.
--- a/test/position-samples-test.cc
+++ b/test/position-samples-test.cc
@@ -49,18 +49,3 @@
   auto needed = samples.required(instant{11s}, 1500ms);
   BOOST_TEST(needed->lsn <= 51U);
 }
-
-BOOST_AUTO_TEST_CASE(what_is_rolled_back_has_not_to_be_seen) {
-  position_samples samples;
-  instant start{10s};
-  samples.note(start, {4, 100});
-  samples.note(start + 1s, {4, 120});
-  samples.roll_back({4, 110});
-  BOOST_TEST((samples.required(start + 2s, 1200ms) == log_position{4, 110}));
-  BOOST_TEST((samples.required(start + 2s, 2500ms) == log_position{4, 100}));
-  samples.note(start + 2s, {4, 110});
-  // A report of it that comes late takes nothing of the next leader back.
-  samples.note(start + 3s, {5, 111});
-  samples.roll_back({4, 110});
-  BOOST_TEST((samples.newest() == log_position{5, 111}));
-}
--- a/test/takeover-test.cc
+++ b/test/takeover-test.cc
@@ -123,10 +123,6 @@
   BOOST_TEST(named->token == 8U);
   // The record says then that no order is open any more.
   actions = change.step(start + 4s, leader_named{naming_outcome::accepted});
-  const auto* goes_on = find<log_continues>(actions);
-  BOOST_REQUIRE(goes_on);
-  BOOST_TEST((goes_on->from == log_position{4, 121}));
-  BOOST_TEST((goes_on->asked == start + 3s));
   write = find<write_duty>(actions);
   BOOST_REQUIRE(write);
   BOOST_TEST((write->phase == lead_phase::settled));
