Give no lead back to a replica, and demote who goes on before naming it

A change that began because nobody led was withdrawn as soon as the last leader answered anything, as a replica as well, and began anew 3 s later. 2.

Changes: only a suspicion or a failure is withdrawn. A candidate that says it leads is told to step down, and counts once it has.

Ruled out: leaving such a database out, which may be the only one that is left.

Tests seen failing: nothing_is_given_back_to_one_that_does_not_lead; the walks with the first change alone; who_goes_on_steps_down_before_it_is_named.

--- a/include/toucanmux/proxy/takeover.h
+++ b/include/toucanmux/proxy/takeover.h
@@ -68,11 +68,6 @@
     settling,
     giving_back
   };
-  struct answer {
-    bool leads = false;
-    std::uint64_t term = 0;
-    log_position received;
-  };
 
   void on(instant now, const takeover_start& what);
   void on(instant now, const takeover_confirmed& what);
@@ -90,6 +85,7 @@
   void take_step_down(instant now, const position_seen& what);
   void take_written(instant now);
   void ask_to_step_down();
+  void demote(const position_seen& what);
   void go_on(instant now);
   void tick_asking(instant now);
   void ask_all(instant now);
@@ -118,7 +114,7 @@
   bool withdrawn_ = false;
   bool given_up_ = false;                     ///< All leases, by their holders.
   std::optional<log_position> old_position_;  ///< Where it stepped down.
-  std::map<database_id, answer> answers_;
+  std::map<database_id, log_position> answers_;  ///< What they received.
   database_id chosen_;
   database_id open_order_;  ///< Of which an order may be open; may be empty.
   bool repeats_ = false;    ///< That order is an earlier one.
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -37,7 +37,8 @@
 void takeover::on(instant now, const takeover_withdrawn&) {
   bool early = phase_ == phase::reading_duty || phase_ == phase::revoking ||
                phase_ == phase::waiting;
-  if (!early || goal_.planned) return;
+  // Where nobody leads, an answer of the last leader gives no lead back.
+  if (!early || goal_.planned || goal_.leaderless) return;
   withdrawn_ = true;
   if (phase_ == phase::waiting) give_back(now);
 }
@@ -126,6 +127,11 @@
   if (goal_.planned) ask_to_step_down();
 }
 
+void takeover::demote(const position_seen& what) {
+  fence_term_ = std::max(fence_term_, what.term + 1);
+  actions_.emplace_back(step_down{what.database, fence_term_});
+}
+
 void takeover::ask_to_step_down() {
   actions_.emplace_back(step_down{goal_.leader, fence_term_});
 }
@@ -135,13 +141,14 @@
     return take_step_down(now, what);
   }
   if (phase_ != phase::asking) return;
-  if (what.answered) {
-    answers_[what.database] = {what.leads, what.term, what.received};
-  }
+  // One that was replaced before may go on; it would be served by as soon as it
+  // is recorded, before the order has made it the leader.
+  if (what.answered && what.leads) return demote(what);
+  if (what.answered) answers_[what.database] = what.received;
   if (answers_.size() < goal_.candidates.size()) return;
   const database_id* best = furthest();
   bool complete =
-      best && (!old_position_ || !(answers_[*best].received < *old_position_));
+      best && (!old_position_ || !(answers_[*best] < *old_position_));
   if (complete) choose(now);
 }
 
@@ -244,11 +251,11 @@
 
 const database_id* takeover::furthest() const {
   const database_id* best = nullptr;
-  const answer* most = nullptr;
-  for (const auto& [id, entry] : answers_) {
-    if (most && !(most->received < entry.received)) continue;
+  const log_position* most = nullptr;
+  for (const auto& [id, received] : answers_) {
+    if (most && !(*most < received)) continue;
     best = &id;
-    most = &entry;
+    most = &received;
   }
   return best;
 }
--- a/test/lease-search-test.cc
+++ b/test/lease-search-test.cc
@@ -169,8 +169,8 @@
       "confirm 0", "write answered 0", "order lost 0",
       // The database that it named is replaced in turn.
       "time", "time", "suspect 0", "write answered 0", "time", "time", "time",
-      "time", "time", "confirm 0", "write answered 0", "order answered 0",
-      "read 1", "answer 1", "late order"};
+      "time", "time", "confirm 0", "steps down 0", "write answered 0",
+      "order answered 0", "read 1", "answer 1", "late order"};
   lease_world::flaws without;
   BOOST_TEST(play(lease_world(without, false, 4, 0), names) == "");
   without.names_another_while_open = true;
@@ -184,8 +184,9 @@
       "confirm 0", "write done 0",
       // The instance pauses; another one goes on.
       "read 1", "answer 1", "time", "time", "suspect 1", "write answered 1",
-      "time", "time", "time", "time", "time", "confirm 1", "write answered 1",
-      "order answered 1", "time", "write answered 0", "order answered 0"};
+      "time", "time", "time", "time", "time", "confirm 1", "steps down 1",
+      "write answered 1", "order answered 1", "time", "write answered 0",
+      "order answered 0"};
   lease_world::flaws without;
   BOOST_TEST(play(lease_world(without, false, 4, 0), names) == "");
   without.orders_late = true;
--- a/test/lease-world.cc
+++ b/test/lease-world.cc
@@ -216,9 +216,9 @@
     auto index = index_of(short_hash(asked->database.value));
     // Either of the two may be the furthest.
     auto far = (highest_token_ + index) % 2;
-    feed(who, position_seen{asked->database, true, false, 1, {1, far}});
-  } else if (std::get_if<step_down>(&action)) {
-    own.told_to_step_down = true;
+    feed(who, position_seen{asked->database, true, leads_[index], 1, {1, far}});
+  } else if (const auto* told = std::get_if<step_down>(&action)) {
+    own.told_to_step_down = index_of(short_hash(told->database.value));
   }
 }
 
@@ -412,9 +412,8 @@
     if (own.told_to_step_down) {
       add("steps down", [i](lease_world& world) {
         instance& taker = world.instances_[i];
-        taker.told_to_step_down = false;
-        const auto* record = taker.leases.find(short_hash(group.value));
-        auto leader = record ? index_of(record->leader) : 0;
+        auto leader = *taker.told_to_step_down;
+        taker.told_to_step_down.reset();
         world.leads_[leader] = false;
         world.feed(i, position_seen{name_of(leader), true, false, 1, {1, 0}});
       });
@@ -476,7 +475,7 @@
       take(static_cast<std::uint64_t>(own.writing->what.phase));
     }
     take(std::uint64_t{own.ordering ? 1U + own.ordering->done : 0U});
-    take(std::uint64_t{own.told_to_step_down});
+    take(std::uint64_t{own.told_to_step_down.value_or(databases)});
     for (auto digest : own.digests) take(digest);
     for (auto stamp : own.stamps) take(stamp);
   }
--- a/test/lease-world.h
+++ b/test/lease-world.h
@@ -83,7 +83,7 @@
     std::optional<read> reading;
     std::optional<call<write_duty>> writing;
     std::optional<call<name_leader>> ordering;
-    bool told_to_step_down = false;
+    std::optional<std::size_t> told_to_step_down;  ///< Which database was.
     std::array<std::uint64_t, instances> digests{};
     std::array<instant, instances> stamps{};
   };
--- a/test/takeover-test.cc
+++ b/test/takeover-test.cc
@@ -188,6 +188,34 @@
   BOOST_TEST((find<write_duty>(actions)->phase == lead_phase::settled));
 }
 
+// The last leader answers as a replica; giving the lead back to it went on for
+// as long as it lived (lead-under-cuts of the further deployment).
+BOOST_AUTO_TEST_CASE(nothing_is_given_back_to_one_that_does_not_lead) {
+  takeover change({}, self);
+  auto none = goal(false);
+  none.leaderless = true;
+  revoke(change, none);
+  BOOST_TEST(change.step(start + 200ms, takeover_withdrawn{}).empty());
+  BOOST_TEST(find<ask_position>(change.step(start + 400ms, leases_given_up{})));
+}
+
+// One that was replaced before, and goes on, may be the furthest. The search
+// found that it was served by until the order came.
+BOOST_AUTO_TEST_CASE(who_goes_on_steps_down_before_it_is_named) {
+  takeover change({}, self);
+  take_duty(change, goal(false));
+  change.step(start, seen(second, 120));
+  auto actions =
+      change.step(start, {position_seen{third, true, true, 4, {4, 130}}});
+  BOOST_REQUIRE(find<step_down>(actions));
+  BOOST_TEST(find<step_down>(actions)->database.value == third.value);
+  BOOST_TEST(find<step_down>(actions)->term == 5U);
+  BOOST_TEST(!find<write_duty>(actions));
+  actions = change.step(start, seen(third, 130));
+  const auto* named = order_after(actions, change, start, actions);
+  BOOST_TEST(named->database.value == third.value);
+}
+
 // After a pause another instance may have gone on with a higher token.
 BOOST_AUTO_TEST_CASE(an_order_is_given_soon_after_its_record_or_never) {
   takeover change({}, self);
