Demote by one function, and drop a choice between equal intervals

A leader that answers a step-down as leader is told again by the function that demotes candidates; both read duties every 0.8 s as hubs whether they go before the others or not, so the branch said nothing.

--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -25,7 +25,6 @@
 // Leases are shorter than the bound on withdrawn keys, so the records of
 // leaders are read sooner than the configuration where proofs are late.
 constexpr duration own_duty_age = milliseconds(1300);
-constexpr duration hub_duty_age = domain_read_interval;
 constexpr duration member_duty_age = milliseconds(1600);
 constexpr duration retry_interval = milliseconds(400);
 // Several times the store's usual answer, so that a silent connection is
@@ -216,7 +215,7 @@
     case role::mesh:
       return peers_.reads_for_domain() ? domain_read_interval : own_duty_age;
     case role::hub:
-      return peers_.reads_for_all() ? domain_read_interval : hub_duty_age;
+      return domain_read_interval;
     case role::member:
       break;
   }
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -157,9 +157,8 @@
 void takeover::take_step_down(instant now, const position_seen& what) {
   if (!what.answered || !goal_.planned) return;
   if (what.leads) {
-    if (what.term < fence_term_) return;
-    fence_term_ = what.term + 1;
-    return ask_to_step_down();
+    if (what.term >= fence_term_) demote(what);
+    return;
   }
   old_position_ = what.received;
   given_up_ = given_up_ || open_order_.empty();
