Log and export the generation of the store

Logs could not tell from which life of the store a revision was read, which separates the hypotheses on the restored store.

No decision uses the generation yet.

--- a/src/proxy/http-caller.cc
+++ b/src/proxy/http-caller.cc
@@ -89,6 +89,10 @@
   http_result result;
   result.answered = true;
   result.status = parser.get().result_int();
+  for (const auto& field : parser.get()) {
+    result.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
   result.body = std::move(parser.get().body());
   finish(std::move(result), parser.get().keep_alive());
 }
--- a/src/proxy/http-caller.h
+++ b/src/proxy/http-caller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "proxy/tcp-stream.h"
 
@@ -17,11 +18,17 @@
   std::string body;
 };
 
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
 /// The result of an HTTP call.
 struct http_result {
   bool answered = false;
   bool sent = false;  ///< The server may have received the request.
   unsigned status = 0;
+  std::vector<http_header> headers;
   std::string body;
   instant sent_at;  ///< When the request was sent, by the boot clock.
 };
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -214,11 +214,10 @@
   std::visit(
       overloaded{
           [&](const read_duty& request) {
-            store_.store().call(store_api::read_duty(request.group),
-                                call_timeout, [this, id](http_result&& result) {
-                                  handle_duty_read(
-                                      id, store_api::parse_duty(result));
-                                });
+            store_.call(store_api::read_duty(request.group), call_timeout,
+                        [this, id](http_result&& result) {
+                          handle_duty_read(id, store_api::parse_duty(result));
+                        });
           },
           [&](const write_duty& request) { write_duty_object(request); },
           [&](const query_position& request) {
@@ -268,25 +267,24 @@
 }
 
 void leader_service::write_duty_object(const write_duty& request) {
-  store_.store().call(store_api::write_duty(request), call_timeout,
-                      [this, request](http_result&& result) {
-                        auto outcome = store_api::parse_duty_outcome(result);
-                        if (outcome.outcome == duty_write_outcome::unknown) {
-                          return verify_write(request);
-                        }
-                        handle_duty_written(request, outcome);
-                      });
+  store_.call(store_api::write_duty(request), call_timeout,
+              [this, request](http_result&& result) {
+                auto outcome = store_api::parse_duty_outcome(result);
+                if (outcome.outcome == duty_write_outcome::unknown) {
+                  return verify_write(request);
+                }
+                handle_duty_written(request, outcome);
+              });
 }
 
 // Reads the object after a write without an answer, which may have taken
 // effect.
 void leader_service::verify_write(const write_duty& request) {
-  store_.store().call(store_api::read_duty(request.group), call_timeout,
-                      [this, request](http_result&& result) {
-                        handle_duty_written(
-                            request,
-                            store_api::duty_outcome_by_read(result, request));
-                      });
+  store_.call(store_api::read_duty(request.group), call_timeout,
+              [this, request](http_result&& result) {
+                handle_duty_written(
+                    request, store_api::duty_outcome_by_read(result, request));
+              });
 }
 
 // Peers act on the record once they receive it, so it is sent at once.
@@ -308,7 +306,7 @@
 // An instance holds a lease only once it is registered. So a list that is read
 // after the revocation has all instances that may hold an older lease.
 void leader_service::list_lease_holders(const group_id& id) {
-  store_.store().call(
+  store_.call(
       store_api::list_members({}, read_consistency::linearizable), call_timeout,
       [this, id](http_result&& result) { handle_lease_holders(id, result); });
 }
@@ -327,7 +325,8 @@
   state_.log.write(journal_kind::belief, "leader_named",
                    {{"group", request.group.value},
                     {"upstream", request.database.value},
-                    {"token", request.token}});
+                    {"token", request.token},
+                    {"generation", state_.store_generation}});
   failover_client_.call(
       store_api::request_promotion(request), call_timeout,
       [this, request](http_result&& result) {
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -47,6 +47,8 @@
   proxy_metrics metrics;
   std::shared_ptr<const fleet_config> config =
       std::make_shared<const fleet_config>();
+  /// The newest generation of the store that an answer has shown.
+  std::uint64_t store_generation = 0;
   config_confirmation confirmation;
   leader_lease leader_leases;
   rate_ledger rate_limits;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -97,6 +97,24 @@
   if (check_needed) check_members();
 }
 
+void store_sync::call(http_call request, duration timeout,
+                      http_caller::result_handler on_done) {
+  store_caller_.call(std::move(request), timeout,
+                     [this, on_done = std::move(on_done)](auto&& result) {
+                       note_generation(result);
+                       on_done(std::move(result));
+                     });
+}
+
+void store_sync::note_generation(const http_result& result) {
+  auto generation = store_api::store_generation(result);
+  if (!generation || *generation == state_.store_generation) return;
+  state_.log.write(
+      journal_kind::dependency, "store_generation_changed",
+      {{"generation", *generation}, {"was", state_.store_generation}});
+  state_.store_generation = *generation;
+}
+
 // Only the domain reader watches the databases, and its updates may be lost.
 bool store_sync::update_reader_lag() {
   if (watch_from_ == 0 ||
@@ -155,10 +173,10 @@
   // Backs off while the store is unreachable, up to one read in 1.2 s.
   auto retry_delay = retry_interval * (1 + std::min(consecutive_failures_, 2U));
   next_config_read_ = state_.loop.now() + retry_delay;
-  store_caller_.call(store_api::read_config(consistency), call_timeout,
-                     [this, consistency](http_result&& result) {
-                       handle_config(consistency, std::move(result));
-                     });
+  call(store_api::read_config(consistency), call_timeout,
+       [this, consistency](http_result&& result) {
+         handle_config(consistency, std::move(result));
+       });
 }
 
 void store_sync::handle_config(read_consistency consistency,
@@ -223,6 +241,7 @@
   state_.log.write(journal_kind::belief, "config_in_force",
                    {{"version", config.version()},
                     {"revision", config.revision()},
+                    {"generation", state_.store_generation},
                     {"teams", std::uint64_t{config.teams().size()}},
                     {"bytes", std::uint64_t{body.size()}}});
   peers_.expedite_reports();
@@ -268,9 +287,8 @@
   bool is_domain_reader = peers_.is_domain_reader();
   auto failures = is_domain_reader ? 0U : std::min(consecutive_failures_, 2U);
   next_duty_read_ = state_.loop.now() + retry_interval * (1 + failures);
-  store_caller_.call(
-      store_api::list_duties(after), call_timeout,
-      [this](http_result&& result) { handle_duties(std::move(result)); });
+  call(store_api::list_duties(after), call_timeout,
+       [this](http_result&& result) { handle_duties(std::move(result)); });
 }
 
 // Each page is at least as new as the moment when the first page's read was
@@ -303,9 +321,8 @@
   // reader.
   auto consistency = upstreams_known_ ? read_consistency::linearizable
                                       : read_consistency::stale;
-  store_caller_.call(
-      store_api::list_upstreams(after, consistency), call_timeout,
-      [this](http_result&& result) { handle_upstreams(std::move(result)); });
+  call(store_api::list_upstreams(after, consistency), call_timeout,
+       [this](http_result&& result) { handle_upstreams(std::move(result)); });
 }
 
 void store_sync::handle_upstreams(http_result&& result) {
@@ -349,6 +366,10 @@
   }
   listed_upstreams_.clear();
   upstreams_known_ = true;
+  state_.log.write(journal_kind::belief, "upstreams_listed",
+                   {{"databases", std::uint64_t{present.size()}},
+                    {"revision", newest_revision},
+                    {"generation", state_.store_generation}});
   set_changed_revision(newest_revision);
 }
 
@@ -376,6 +397,7 @@
   next_watch_ = state_.loop.now() + retry_interval;
   watch_caller_.call(store_api::watch_upstreams(watch_from_, watch_wait),
                      watch_timeout, [this](http_result&& result) {
+                       note_generation(result);
                        handle_upstream_events(std::move(result));
                      });
 }
@@ -439,27 +461,26 @@
 
 void store_sync::read_upstream_entry(const group_id& group,
                                      const database_id& id) {
-  store_caller_.call(store_api::read_upstream(id), call_timeout,
-                     [this, group](http_result&& result) {
-                       auto* found = state_.find_group(group);
-                       bool succeeded =
-                           result.answered &&
-                           (result.status == 200 || result.status == 404);
-                       record_store_call(succeeded, "entry");
-                       if (!succeeded || !found) return;
-                       std::optional<std::uint64_t> sequence;
-                       if (result.status == 200) {
-                         auto entry = store_api::parse_upstream(result.body);
-                         if (entry) sequence = entry->sequence;
-                       }
-                       found->watch().apply_entry(state_.loop.now(), sequence);
-                     });
+  call(store_api::read_upstream(id), call_timeout,
+       [this, group](http_result&& result) {
+         auto* found = state_.find_group(group);
+         bool succeeded =
+             result.answered && (result.status == 200 || result.status == 404);
+         record_store_call(succeeded, "entry");
+         if (!succeeded || !found) return;
+         std::optional<std::uint64_t> sequence;
+         if (result.status == 200) {
+           auto entry = store_api::parse_upstream(result.body);
+           if (entry) sequence = entry->sequence;
+         }
+         found->watch().apply_entry(state_.loop.now(), sequence);
+       });
 }
 
 void store_sync::register_self() {
   registering_ = true;
   next_member_call_ = state_.loop.now() + retry_interval;
-  store_caller_.call(
+  call(
       store_api::create_member(own_record()), call_timeout,
       [this](http_result&& result) { handle_registration(std::move(result)); });
 }
@@ -488,8 +509,8 @@
   auto record = store_api::parse_member(stored_object);
   auto revision = store_api::object_revision(stored_object);
   if (revision == 0 || (record && is_own(*record))) return;
-  store_caller_.call(store_api::replace_member(own_record(), revision),
-                     call_timeout, [](http_result&&) {});
+  call(store_api::replace_member(own_record(), revision), call_timeout,
+       [](http_result&&) {});
 }
 
 bool store_sync::is_own(const store_api::member_record& record) const {
@@ -507,10 +528,10 @@
   listing_members_ = true;
   next_member_call_ = state_.loop.now() + retry_interval;
   auto consistency = members_consistency_;
-  store_caller_.call(store_api::list_members(after, consistency), call_timeout,
-                     [this, consistency](http_result&& result) {
-                       handle_members(consistency, std::move(result));
-                     });
+  call(store_api::list_members(after, consistency), call_timeout,
+       [this, consistency](http_result&& result) {
+         handle_members(consistency, std::move(result));
+       });
 }
 
 void store_sync::handle_members(read_consistency consistency,
@@ -559,8 +580,8 @@
   if (!peers_.is_domain_reader()) return;
   for (const auto& silent : peers_.long_silent_members()) {
     if (silent.domain != state_.settings.domain) continue;
-    store_caller_.call(store_api::remove_member(silent.id), call_timeout,
-                       [](http_result&&) {});
+    call(store_api::remove_member(silent.id), call_timeout,
+         [](http_result&&) {});
     peers_.remove(silent.id);
   }
 }
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -23,8 +23,10 @@
   void start();
   /// Starts the reads that are due. Called a few times a second.
   void tick();
-  /// The connection for all calls but the watch.
-  http_caller& store() { return store_caller_; }
+  /// Calls the store. `on_done` is called once, from the event loop.
+  void call(http_call request, duration timeout,
+            http_caller::result_handler on_done);
+  std::uint64_t calls() const { return store_caller_.calls(); }
   /// True once the databases were listed.
   bool upstreams_known() const { return upstreams_known_; }
 
@@ -36,6 +38,7 @@
   void read_upstream_entry(const group_id& group, const database_id& id);
 
  private:
+  void note_generation(const http_result& result);
   void read_config(read_consistency consistency);
   void handle_config(read_consistency consistency, http_result&& result);
   config_read_policy::situation config_situation() const;
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -54,6 +54,17 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_CASE(the_generation_of_the_store_is_read_from_any_answer) {
+  http_result result;
+  BOOST_TEST(!store_api::store_generation(result).has_value());
+  result.headers = {{"Content-Length", "2"}, {"store-era", "7"}};
+  BOOST_TEST(store_api::store_generation(result).value() == 7U);
+  for (std::string malformed : {"", "x", "7x", "-1"}) {
+    result.headers = {{"Store-Era", malformed}};
+    BOOST_TEST(!store_api::store_generation(result).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(configuration_is_parsed) {
   auto config = store_api::parse_config(good_config);
   BOOST_TEST(config.version() == 7U);
