--- a/test/standin/proxy/platform-stub.cc
+++ b/test/standin/proxy/platform-stub.cc
@@ -45,6 +45,9 @@
       ++platform_.calls_;
       if (platform_.silent) return;
       auto target = parser.get().target();
+      auto token = parser.get()["Toucanmux-Fence-Token"];
+      if (target == "/failover")
+        platform_.failover_tokens_.push_back(std::stoull(std::string(token)));
       serve(std::string(parser.get().method_string()),
             std::string(target.data(), target.size()), parser.get().body());
     }
@@ -58,7 +61,9 @@
   /// watch's revision is no longer kept.
   void answer_watch() {
     if (watched_kind_.empty()) return;
-    if (since_ < platform_.oldest_watchable_) return finish_watch(410, "{}");
+    bool unknown =
+        since_ < platform_.oldest_watchable_ || since_ > platform_.revision_;
+    if (unknown) return finish_watch(410, "{}");
     json events = json::array();
     for (const auto& change : platform_.changes_) {
       if (change.kind != watched_kind_ || change.revision <= since_) continue;
@@ -152,7 +157,8 @@
 
   void reply(unsigned status, const std::string& body) {
     stream_.send("HTTP/1.1 " + std::to_string(status) +
-                 " -\r\nContent-Length: " + std::to_string(body.size()) +
+                 " -\r\nStore-Era: " + std::to_string(platform_.generation_) +
+                 "\r\nContent-Length: " + std::to_string(body.size()) +
                  "\r\n\r\n" + body);
   }
 
@@ -207,6 +213,16 @@
   for (auto& each : sessions_) each->answer_watch();
 }
 
+void platform_stub::restore_copy() {
+  objects_ = saved_objects_;
+  revision_ = saved_revision_;
+  ++generation_;
+  std::erase_if(changes_, [this](const change& each) {
+    return each.revision > revision_;
+  });
+  for (auto& each : sessions_) each->answer_watch();
+}
+
 void platform_stub::discard_history() {
   oldest_watchable_ = ++revision_;
   changes_.clear();
--- a/test/standin/proxy/platform-stub.h
+++ b/test/standin/proxy/platform-stub.h
@@ -37,8 +37,21 @@
   /// Drops the change history: watches from an older revision are answered with
   /// 410.
   void discard_history();
+  /// Keeps a copy of the objects and of the revision for `restore_copy`.
+  void save_copy() {
+    saved_objects_ = objects_;
+    saved_revision_ = revision_;
+  }
+  /// Returns to the saved copy: later writes are gone, and their revisions are
+  /// given out again.
+  void restore_copy();
+  std::uint64_t revision() const { return revision_; }
   /// Bodies of the failover calls so far, in order.
   const std::vector<std::string>& failovers() const { return failovers_; }
+  /// The fencing tokens of these calls.
+  const std::vector<std::uint64_t>& failover_tokens() const {
+    return failover_tokens_;
+  }
   std::uint64_t calls() const { return calls_; }
   std::uint64_t watches() const { return watches_; }
   std::uint64_t writes() const { return writes_; }
@@ -78,7 +91,11 @@
   std::uint64_t stale_revision_ = 0;
   std::vector<change> changes_;
   std::list<std::unique_ptr<session>> sessions_;
+  std::uint64_t generation_ = 1;
+  state saved_objects_;
+  std::uint64_t saved_revision_ = 0;
   std::vector<std::string> failovers_;
+  std::vector<std::uint64_t> failover_tokens_;
   std::uint64_t calls_ = 0;
   std::uint64_t watches_ = 0;
   std::uint64_t writes_ = 0;
