Identify a configuration by version and content, not by revision

Callers saw a route refused and an older route used for up to 8 s after a change was acknowledged (CONFIG), on instances that don't read the store.

Cause: reports named the configuration by the store's revision of its object. A restored store gives revisions out again, so a peer's confirmation of revision 26 (version 15) counted for revision 26 (version 13) here, and no instance looked newer. Ruled out: instances that start after the restore; none of those that broke the rule was killed.

Reports carry the operator's version, which only rises, and a digest of the content. Neither follows from the store's history, so nothing that the store forgets can make two configurations look alike.

--- a/include/toucanmux/proxy/fleet-config.h
+++ b/include/toucanmux/proxy/fleet-config.h
@@ -14,15 +14,17 @@
 class fleet_config {
  public:
   fleet_config() = default;
-  fleet_config(std::uint64_t version, std::uint64_t revision,
+  fleet_config(std::uint64_t version, std::uint32_t digest,
                duration transaction_idle, std::vector<route> routes,
                std::vector<group_policy> groups, std::vector<team_plan> teams);
 
   /// The version number that the operators gave; 0 before the first
   /// configuration.
   std::uint64_t version() const { return version_; }
-  /// The store's revision of the object that the configuration was read from.
-  std::uint64_t revision() const { return revision_; }
+  /// A hash of the content. With the version it identifies a configuration,
+  /// which a revision of the store does not: a restored store gives revisions
+  /// out again.
+  std::uint32_t digest() const { return digest_; }
   /// How long a transaction may be idle between two statements.
   duration transaction_idle() const { return transaction_idle_; }
 
@@ -41,7 +43,7 @@
   };
 
   std::uint64_t version_ = 0;
-  std::uint64_t revision_ = 0;
+  std::uint32_t digest_ = 0;
   duration transaction_idle_{0};
   std::vector<route> routes_;  ///< Sorted by database name.
   std::vector<group_policy> groups_;
--- a/src/proxy/fleet-config.cc
+++ b/src/proxy/fleet-config.cc
@@ -4,12 +4,12 @@
 
 namespace toucanmux {
 
-fleet_config::fleet_config(std::uint64_t version, std::uint64_t revision,
+fleet_config::fleet_config(std::uint64_t version, std::uint32_t digest,
                            duration transaction_idle, std::vector<route> routes,
                            std::vector<group_policy> groups,
                            std::vector<team_plan> teams)
     : version_(version),
-      revision_(revision),
+      digest_(digest),
       transaction_idle_(transaction_idle),
       routes_(std::move(routes)),
       groups_(std::move(groups)),
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -79,7 +79,7 @@
   entry.capacity = report.capacity;
   entry.known_peers = report.known_peers;
   entry.upstream_revision = report.upstream_revision;
-  entry.config_revision = report.config_revision;
+  entry.config_version = report.config_version;
   entry.leader_digest = report.leader_digest;
   entry.knowers_hash = report.knowers_hash;
   apply_gone_members(entry, report);
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -158,8 +158,9 @@
   if (sent_at > state_.loop.now()) return;
   state_.leader_leases.confirm_from_peer(
       sent_at - milliseconds(report.leader_age_ms), report.leader_digest);
-  bool same_config = report.config_revision != 0 &&
-                     report.config_revision == state_.config->revision();
+  bool same_config = report.config_version != 0 &&
+                     report.config_version == state_.config->version() &&
+                     report.config_digest == state_.config->digest();
   if (same_config)
     state_.confirmation.confirm(sent_at - milliseconds(report.config_age_ms));
 }
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -200,7 +200,7 @@
 bool peer_service::peer_has_newer_config() const {
   const auto& all = peers_.all();
   return std::any_of(all.begin(), all.end(), [&](const auto& item) {
-    return item.second.config_revision > state_.config->revision();
+    return item.second.config_version > state_.config->version();
   });
 }
 
@@ -356,7 +356,8 @@
   out.upstream_revision = upstream_revision_;
   bool domain = options.sender_scope == scope::domain;
   if (state_.confirmation.confirmed()) {
-    out.config_revision = state_.config->revision();
+    out.config_version = state_.config->version();
+    out.config_digest = state_.config->digest();
     out.config_age_ms = reported_age_ms(state_.confirmation.age(now));
   }
   out.leader_digest = state_.leader_leases.digest();
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -240,7 +240,7 @@
   }
   state_.log.write(journal_kind::belief, "config_in_force",
                    {{"version", config.version()},
-                    {"revision", config.revision()},
+                    {"revision", store_api::object_revision(body)},
                     {"generation", state_.store_generation},
                     {"teams", std::uint64_t{config.teams().size()}},
                     {"bytes", std::uint64_t{body.size()}}});
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -68,7 +68,13 @@
 BOOST_AUTO_TEST_CASE(configuration_is_parsed) {
   auto config = store_api::parse_config(good_config);
   BOOST_TEST(config.version() == 7U);
-  BOOST_TEST(config.revision() == 88U);
+  // The digest follows from the content alone.
+  auto rewritten = good_config;
+  rewritten.replace(rewritten.find("88"), 2, "12");
+  BOOST_TEST(store_api::parse_config(rewritten).digest() == config.digest());
+  auto changed = good_config;
+  changed.replace(changed.find("800"), 3, "900");
+  BOOST_TEST(store_api::parse_config(changed).digest() != config.digest());
   BOOST_TEST((config.transaction_idle() == 3s));
   const auto* found = config.find_route("orders");
   BOOST_REQUIRE(found);
