Compare states of the database list within a generation of the store

Cause: after a restore the list's revisions start over from the copy. Updates and reports with lower revisions were taken for older ones until the store had passed the highest revision that it had given out before. A watch from such a revision could also go on in silence, and an entry of the copy ended a drain that had begun.

Ruled out: lost datagrams; the reports kept arriving and confirmed the configuration meanwhile.

Versions of the list are a generation and a revision now, compared in this order. Answers over a change of generation are not used, and after one the databases, the members and the configuration are read anew. Entries of the copy that a database has replaced since are ignored by its own counter.

--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -38,7 +38,8 @@
   bool levels_settled = false;    ///< The token levels in `uses` are reliable.
   std::uint32_t capacity = 0;     ///< CPU capacity in thousandths of a core.
   std::uint32_t known_peers = 0;  ///< Number of peers that the sender knows.
-  /// The sender's revision of the database list.
+  std::uint32_t store_generation = 0;  ///< The newest that the sender knows.
+  /// Of the sender's database list in this generation; 0 if that list is older.
   std::uint64_t upstream_revision = 0;
   std::uint64_t config_version = 0;
   std::uint32_t config_digest = 0;
@@ -60,22 +61,22 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(cereal::make_nvp("whose", sender_scope),
-            cereal::make_nvp("head", is_first_part), CEREAL_NVP(domain),
-            CEREAL_NVP(stamp), cereal::make_nvp("cycle", first_stamp),
-            CEREAL_NVP(all_teams), cereal::make_nvp("uses_in_all", total_uses),
-            CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
-            CEREAL_NVP(wants_reply),
-            cereal::make_nvp("settled", levels_settled), CEREAL_NVP(capacity),
-            cereal::make_nvp("known", known_peers),
-            CEREAL_NVP(upstream_revision), CEREAL_NVP(config_version),
-            CEREAL_NVP(config_digest), CEREAL_NVP(config_age_ms),
-            cereal::make_nvp("lead_digest", leader_digest),
-            cereal::make_nvp("lead_age_ms", leader_age_ms),
-            cereal::make_nvp("lead_knowers", knowers_hash),
-            cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
-            CEREAL_NVP(sightings), CEREAL_NVP(positions),
-            cereal::make_nvp("gone", gone));
+    archive(
+        cereal::make_nvp("whose", sender_scope),
+        cereal::make_nvp("head", is_first_part), CEREAL_NVP(domain),
+        CEREAL_NVP(stamp), cereal::make_nvp("cycle", first_stamp),
+        CEREAL_NVP(all_teams), cereal::make_nvp("uses_in_all", total_uses),
+        CEREAL_NVP(leaving), CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
+        cereal::make_nvp("settled", levels_settled), CEREAL_NVP(capacity),
+        cereal::make_nvp("known", known_peers), CEREAL_NVP(store_generation),
+        CEREAL_NVP(upstream_revision), CEREAL_NVP(config_version),
+        CEREAL_NVP(config_digest), CEREAL_NVP(config_age_ms),
+        cereal::make_nvp("lead_digest", leader_digest),
+        cereal::make_nvp("lead_age_ms", leader_age_ms),
+        cereal::make_nvp("lead_knowers", knowers_hash),
+        cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
+        CEREAL_NVP(sightings), CEREAL_NVP(positions),
+        cereal::make_nvp("gone", gone));
   }
 };
 
--- a/include/toucanmux/proxy/upstream-entry.h
+++ b/include/toucanmux/proxy/upstream-entry.h
@@ -6,6 +6,7 @@
 
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/inet-address.h"
+#include "toucanmux/proxy/store-version.h"
 
 namespace toucanmux {
 
@@ -19,13 +20,13 @@
   bool claims_lead = false;    ///< The database says that it leads its group.
   std::uint64_t sequence = 0;  ///< Incremented by each heartbeat.
   std::uint64_t born_ms = 0;   ///< Start of the database process, Unix time.
-  std::uint64_t revision = 0;  ///< Store revision of the entry's last change.
+  store_version version;       ///< Of the entry's last change.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(id), CEREAL_NVP(group), CEREAL_NVP(address),
             CEREAL_NVP(domain), CEREAL_NVP(draining), CEREAL_NVP(claims_lead),
-            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(revision));
+            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version));
   }
 };
 
--- a/include/toucanmux/proxy/upstream-update.h
+++ b/include/toucanmux/proxy/upstream-update.h
@@ -19,19 +19,16 @@
   }
 };
 
-/// Changes of the discovery entries between two store revisions. Sent by the
-/// domain reader, the instance of a failure domain that watches the store.
+/// Changes of the discovery entries between two states of the store. Sent by
+/// the domain reader, the instance of a failure domain that watches the store.
 struct upstream_update {
-  /// Store revision of the entries that the changes apply to.
-  std::uint64_t from_revision = 0;
-  /// Store revision of the entries with the changes.
-  std::uint64_t to_revision = 0;
+  store_version from;  ///< Of the entries that the changes apply to.
+  store_version to;    ///< Of the entries with the changes.
   bounded_list<upstream_change, 64> changes;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(CEREAL_NVP(from_revision), CEREAL_NVP(to_revision),
-            CEREAL_NVP(changes));
+    archive(CEREAL_NVP(from), CEREAL_NVP(to), CEREAL_NVP(changes));
   }
 };
 
--- a/src/proxy/http-caller.h
+++ b/src/proxy/http-caller.h
@@ -29,6 +29,7 @@
   bool sent = false;  ///< The server may have received the request.
   unsigned status = 0;
   std::vector<http_header> headers;
+  std::uint64_t generation = 0;  ///< Of the store; set by `store_sync`.
   std::string body;
   instant sent_at;  ///< When the request was sent, by the boot clock.
 };
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -326,7 +326,7 @@
                    {{"group", request.group.value},
                     {"upstream", request.database.value},
                     {"token", request.token},
-                    {"generation", state_.store_generation}});
+                    {"generation", state_.store.current()}});
   failover_client_.call(
       store_api::request_promotion(request), call_timeout,
       [this, request](http_result&& result) {
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -78,7 +78,7 @@
   entry.is_hub = report.sender_scope != peer_report::scope::self;
   entry.capacity = report.capacity;
   entry.known_peers = report.known_peers;
-  entry.upstream_revision = report.upstream_revision;
+  entry.upstream_version = {report.store_generation, report.upstream_revision};
   entry.config_version = report.config_version;
   entry.leader_digest = report.leader_digest;
   entry.knowers_hash = report.knowers_hash;
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -20,12 +20,12 @@
   bool ever_heard = false;
   bool leaving = false;
   bool lacks_store = false;
-  bool is_hub = false;            ///< It reports for its failure domain.
-  bool is_gone = false;           ///< A hub considers the instance gone.
-  std::uint32_t capacity = 0;     ///< CPU capacity in thousandths of a core.
-  std::uint32_t known_peers = 0;  ///< Number of peers that it knows.
-  std::uint64_t upstream_revision = 0;
-  std::uint64_t last_stamp = 0;  ///< The stamp of its last report.
+  bool is_hub = false;             ///< It reports for its failure domain.
+  bool is_gone = false;            ///< A hub considers the instance gone.
+  std::uint32_t capacity = 0;      ///< CPU capacity in thousandths of a core.
+  std::uint32_t known_peers = 0;   ///< Number of peers that it knows.
+  store_version upstream_version;  ///< Of its database list.
+  std::uint64_t last_stamp = 0;    ///< The stamp of its last report.
   /// The stamp of the first part of that report.
   std::uint64_t first_stamp = 0;
   /// Uses received so far in the parts of that report.
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -166,9 +166,9 @@
   return peers_.outranks_all_hubs(state_.loop.now());
 }
 
-std::uint64_t peer_service::reader_upstream_revision() const {
+store_version peer_service::reader_upstream_version() const {
   const auto* reader = peers_.domain_reader(state_.loop.now());
-  return reader ? reader->upstream_revision : 0;
+  return reader ? reader->upstream_version : store_version{};
 }
 
 std::vector<member_id> peer_service::active_peers() const {
@@ -353,7 +353,10 @@
   out.wants_reply = out.lacks_store && !options.is_reply;
   out.capacity = state_.settings.cpu_millicores;
   out.known_peers = static_cast<std::uint32_t>(peers_.all().size());
-  out.upstream_revision = upstream_revision_;
+  auto generation = state_.store.current();
+  out.store_generation = static_cast<std::uint32_t>(generation);
+  if (upstream_version_.generation == generation)
+    out.upstream_revision = upstream_version_.revision;
   bool domain = options.sender_scope == scope::domain;
   if (state_.confirmation.confirmed()) {
     out.config_version = state_.config->version();
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -61,14 +61,14 @@
   /// therefore reads the store for them.
   bool is_fleet_reader() const;
   peer_directory::role own_role() const { return peers_.own_role(); }
-  /// The revision of the database list that the domain reader has; 0 if this
-  /// instance is the reader.
-  std::uint64_t reader_upstream_revision() const;
+  /// The version of the database list that the domain reader has; the lowest
+  /// one if this instance is the reader.
+  store_version reader_upstream_version() const;
   /// Sends changes of the database list to the peers of this failure domain.
   void send_upstream_update(const upstream_update& update);
-  /// Sets the revision of the database list that this instance has.
-  void set_upstream_revision(std::uint64_t revision) {
-    upstream_revision_ = revision;
+  /// Sets the version of the database list that this instance has.
+  void set_upstream_version(const store_version& version) {
+    upstream_version_ = version;
   }
   /// A peer has a newer configuration than this instance.
   bool peer_has_newer_config() const;
@@ -150,7 +150,7 @@
   /// Alive, in this failure domain, this instance included.
   std::vector<member_id> near_members_;
   std::shared_ptr<const std::vector<member_id>> members_;
-  std::uint64_t upstream_revision_ = 0;
+  store_version upstream_version_;
   /// Next report within the own failure domain; at least to its reader.
   instant next_near_report_;
   /// Next report to all instances of the own failure domain.
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -196,7 +196,7 @@
   auto& metrics = state_.metrics;
   metrics.set("sessions", static_cast<double>(sessions_.size()));
   metrics.set("store_calls", static_cast<double>(store_.calls()));
-  metrics.set("store_generation", static_cast<double>(state_.store_generation));
+  metrics.set("store_generation", static_cast<double>(state_.store.current()));
   metrics.set("dropped_log_lines", static_cast<double>(state_.log.dropped()));
   metrics.set("config_version", static_cast<double>(state_.config->version()));
   double waiting = 0;
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -14,6 +14,7 @@
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/rate-ledger.h"
+#include "toucanmux/proxy/store-generation.h"
 #include "toucanmux/request/retry-budget.h"
 
 namespace toucanmux {
@@ -47,8 +48,7 @@
   proxy_metrics metrics;
   std::shared_ptr<const fleet_config> config =
       std::make_shared<const fleet_config>();
-  /// The newest generation of the store that an answer has shown.
-  std::uint64_t store_generation = 0;
+  store_generation store;
   config_confirmation confirmation;
   leader_lease leader_leases;
   rate_ledger rate_limits;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -99,32 +99,58 @@
 
 void store_sync::call(http_call request, duration timeout,
                       http_caller::result_handler on_done) {
-  store_caller_.call(std::move(request), timeout,
-                     [this, on_done = std::move(on_done)](auto&& result) {
-                       note_generation(result);
-                       on_done(std::move(result));
-                     });
+  call_from(store_caller_, std::move(request), timeout, std::move(on_done));
+}
+
+void store_sync::call_from(http_caller& caller, http_call request,
+                           duration timeout,
+                           http_caller::result_handler on_done) {
+  auto sent_in = state_.store.current();
+  caller.call(std::move(request), timeout,
+              [this, sent_in, on_done = std::move(on_done)](auto&& result) {
+                check_generation(sent_in, result);
+                on_done(std::move(result));
+              });
+}
+
+void store_sync::check_generation(std::uint64_t sent_in, http_result& result) {
+  if (!result.answered) return;
+  result.generation = store_api::store_generation(result).value_or(0);
+  auto was = state_.store.current();
+  if (state_.store.observe(state_.loop.now(), result.generation)) {
+    state_.log.write(journal_kind::dependency, "store_generation_changed",
+                     {{"generation", result.generation}, {"was", was}});
+    if (was != 0) discard_older_generation();
+  }
+  result.answered = state_.store.usable(sent_in, result.generation);
 }
 
-void store_sync::note_generation(const http_result& result) {
-  auto generation = store_api::store_generation(result);
-  if (!generation || *generation == state_.store_generation) return;
-  state_.log.write(
-      journal_kind::dependency, "store_generation_changed",
-      {{"generation", *generation}, {"was", state_.store_generation}});
-  state_.store_generation = *generation;
+// The restored store has lost writes, and may have given their revisions to
+// others: everything is read again.
+void store_sync::discard_older_generation() {
+  watch_from_ = 0;
+  listed_upstreams_.clear();
+  next_list_ = next_config_read_ = next_member_call_ = state_.loop.now();
+  members_listed_ = registered_ = false;
+  members_consistency_ = read_consistency::linearizable;
+  for (auto& [id, group] : state_.groups)
+    group->watch().note_store_unreachable(state_.loop.now());
 }
 
 // Only the domain reader watches the databases, and its updates may be lost.
 bool store_sync::update_reader_lag() {
   if (watch_from_ == 0 ||
-      peers_.reader_upstream_revision() <= changed_revision_) {
+      peers_.reader_upstream_version() <= changed_version_) {
     reader_lag_since_.reset();
     return false;
   }
   instant now = state_.loop.now();
   if (!reader_lag_since_) reader_lag_since_ = now;
-  if (now - *reader_lag_since_ < update_timeout) return false;
+  // No update leads from one generation of the store to the next.
+  bool update_expected = peers_.reader_upstream_version().generation ==
+                         changed_version_.generation;
+  if (update_expected && now - *reader_lag_since_ < update_timeout)
+    return false;
   reader_lag_since_.reset();
   return true;
 }
@@ -241,7 +267,7 @@
   state_.log.write(journal_kind::belief, "config_in_force",
                    {{"version", config.version()},
                     {"revision", store_api::object_revision(body)},
-                    {"generation", state_.store_generation},
+                    {"generation", state_.store.current()},
                     {"teams", std::uint64_t{config.teams().size()}},
                     {"bytes", std::uint64_t{body.size()}}});
   peers_.expedite_reports();
@@ -339,8 +365,10 @@
   // The watch continues from the first page's revision, so changes during the
   // later pages are delivered again.
   if (listed_upstreams_.empty()) watch_from_ = 0;
-  listed_upstreams_.insert(listed_upstreams_.end(), page->entries.begin(),
-                           page->entries.end());
+  for (auto& entry : page->entries) {
+    entry.version.generation = result.generation;
+    listed_upstreams_.push_back(std::move(entry));
+  }
   if (!page->continue_after.empty()) {
     return list_upstreams(page->continue_after);
   }
@@ -353,7 +381,7 @@
   std::uint64_t newest_revision = 0;
   for (const auto& entry : listed_upstreams_) {
     present.insert(entry.id);
-    newest_revision = std::max(newest_revision, entry.revision);
+    newest_revision = std::max(newest_revision, entry.version.revision);
     apply_entry(entry);
   }
   for (auto& [id, group] : state_.groups) {
@@ -369,13 +397,13 @@
   state_.log.write(journal_kind::belief, "upstreams_listed",
                    {{"databases", std::uint64_t{present.size()}},
                     {"revision", newest_revision},
-                    {"generation", state_.store_generation}});
-  set_changed_revision(newest_revision);
+                    {"generation", state_.store.current()}});
+  set_changed_version({state_.store.current(), newest_revision});
 }
 
-void store_sync::set_changed_revision(std::uint64_t revision) {
-  changed_revision_ = std::max(changed_revision_, revision);
-  peers_.set_upstream_revision(changed_revision_);
+void store_sync::set_changed_version(const store_version& version) {
+  changed_version_ = std::max(changed_version_, version);
+  peers_.set_upstream_version(changed_version_);
 }
 
 void store_sync::apply_entry(const upstream_entry& entry) {
@@ -395,11 +423,10 @@
 void store_sync::watch_upstreams() {
   watching_upstreams_ = true;
   next_watch_ = state_.loop.now() + retry_interval;
-  watch_caller_.call(store_api::watch_upstreams(watch_from_, watch_wait),
-                     watch_timeout, [this](http_result&& result) {
-                       note_generation(result);
-                       handle_upstream_events(std::move(result));
-                     });
+  call_from(watch_caller_, store_api::watch_upstreams(watch_from_, watch_wait),
+            watch_timeout, [this](http_result&& result) {
+              handle_upstream_events(std::move(result));
+            });
 }
 
 void store_sync::handle_upstream_events(http_result&& result) {
@@ -416,7 +443,8 @@
     watch_from_ = 0;
     return;
   }
-  for (const auto& event : events->events) {
+  for (auto& event : events->events) {
+    event.entry.version.generation = result.generation;
     if (event.removed) {
       remove_entry(event.entry.id);
     } else if (event.readable) {
@@ -432,9 +460,9 @@
 // changes, lists the databases again once a report shows a newer revision.
 void store_sync::send_update(const store_api::upstream_events& events) {
   upstream_update update;
-  update.from_revision = changed_revision_;
-  set_changed_revision(events.revision);
-  update.to_revision = changed_revision_;
+  update.from = changed_version_;
+  set_changed_version({state_.store.current(), events.revision});
+  update.to = changed_version_;
   if (events.events.size() > max_update_changes) return;
   for (const auto& event : events.events) {
     if (!event.removed && !event.readable) continue;
@@ -444,9 +472,9 @@
 }
 
 void store_sync::apply_update(const upstream_update& update) {
-  bool can_apply = watch_from_ != 0 &&
-                   changed_revision_ >= update.from_revision &&
-                   changed_revision_ < update.to_revision;
+  bool can_apply =
+      watch_from_ != 0 && changed_version_.generation == update.to.generation &&
+      changed_version_ >= update.from && changed_version_ < update.to;
   if (!can_apply) return;
   for (const auto& change : update.changes.items) {
     if (change.removed) {
@@ -455,8 +483,8 @@
       apply_entry(change.entry);
     }
   }
-  watch_from_ = std::max(watch_from_, update.to_revision);
-  set_changed_revision(update.to_revision);
+  watch_from_ = std::max(watch_from_, update.to.revision);
+  set_changed_version(update.to);
 }
 
 void store_sync::read_upstream_entry(const group_id& group,
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -23,7 +23,8 @@
   void start();
   /// Starts the reads that are due. Called a few times a second.
   void tick();
-  /// Calls the store. `on_done` is called once, from the event loop.
+  /// Calls the store. `on_done` is called once, from the event loop. An answer
+  /// of another generation than the known one counts as none.
   void call(http_call request, duration timeout,
             http_caller::result_handler on_done);
   std::uint64_t calls() const { return store_caller_.calls(); }
@@ -38,7 +39,10 @@
   void read_upstream_entry(const group_id& group, const database_id& id);
 
  private:
-  void note_generation(const http_result& result);
+  void call_from(http_caller& caller, http_call request, duration timeout,
+                 http_caller::result_handler on_done);
+  void check_generation(std::uint64_t sent_in, http_result& result);
+  void discard_older_generation();
   void read_config(read_consistency consistency);
   void handle_config(read_consistency consistency, http_result&& result);
   config_read_policy::situation config_situation() const;
@@ -53,7 +57,7 @@
   void watch_upstreams();
   void handle_upstream_events(http_result&& result);
   void send_update(const store_api::upstream_events& events);
-  void set_changed_revision(std::uint64_t revision);
+  void set_changed_version(const store_version& version);
   bool update_reader_lag();
   void apply_entry(const upstream_entry& entry);
   void remove_entry(const database_id& id);
@@ -90,8 +94,7 @@
   std::vector<upstream_entry> listed_upstreams_;
   /// The revision to watch from; 0 requests a new list.
   std::uint64_t watch_from_ = 0;
-  /// The revision of the last known change in the database list.
-  std::uint64_t changed_revision_ = 0;
+  store_version changed_version_;  ///< Of the last change in the database list.
   std::optional<instant> reader_lag_since_;
   bool watching_upstreams_ = false;
   instant next_watch_;
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -115,10 +115,11 @@
                    [&](const auto& up) { return up->entry.id == entry.id; });
   if (found == upstreams_.end()) found = find_free_slot(entry.id);
   upstream& up = **found;
+  if (is_outdated(up, entry)) return;
   bool restarted =
       up.entry.born_ms != entry.born_ms || up.entry.address != entry.address;
   if (entry.claims_lead && (!up.entry.claims_lead || restarted)) {
-    up.leadership_revision = entry.revision;
+    up.leadership_version = entry.version;
     up.denied_leadership = false;
   }
   if (entry.claims_lead != up.entry.claims_lead) up.denied_leadership = false;
@@ -135,6 +136,19 @@
   schedule_serve();
 }
 
+// A restored store shows entries that their databases have replaced since. An
+// entry that was removed without draining may have expired while the store was
+// away; the heartbeats that bring it back change nothing but its sequence.
+bool upstream_group::is_outdated(const upstream& known,
+                                 const upstream_entry& entry) {
+  bool restored = known.entry.version.generation != 0 &&
+                  entry.version.generation > known.entry.version.generation;
+  bool older = entry.born_ms == known.entry.born_ms &&
+               entry.sequence <= known.entry.sequence;
+  bool expired = known.removed_at && !known.entry.draining;
+  return restored && older && !expired;
+}
+
 // Slots of databases that were removed long ago are reused, so that the list of
 // candidates does not grow without bound.
 upstream_group::upstream_slot upstream_group::find_free_slot(
@@ -182,8 +196,7 @@
     const upstream& up = *upstreams_[i];
     if (!up.entry.claims_lead || up.denied_leadership || removal_is_final(up))
       continue;
-    if (!best ||
-        upstreams_[*best]->leadership_revision < up.leadership_revision)
+    if (!best || upstreams_[*best]->leadership_version < up.leadership_version)
       best = i;
   }
   return best;
@@ -248,7 +261,7 @@
              {{"group", id_.value},
               {"leader", id.value},
               {"was", logged_leader_ ? logged_leader_->value : ""},
-              {"revision", upstreams_[*index]->leadership_revision}});
+              {"revision", upstreams_[*index]->leadership_version.revision}});
   logged_leader_ = id;
 }
 
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -142,6 +142,8 @@
       boost::intrusive::list<link_request,
                              boost::intrusive::constant_time_size<false>>;
 
+  static bool is_outdated(const upstream& known, const upstream_entry& entry);
+
   using upstream_slot = std::vector<std::unique_ptr<upstream>>::iterator;
 
   void update_allowance(upstream& database) const;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -34,8 +34,8 @@
   /// The database has answered as leader since the store's leader record last
   /// changed.
   bool confirmed_leadership = false;
-  /// Store revision at which the discovery entry began to claim leadership.
-  std::uint64_t leadership_revision = 0;
+  /// When the discovery entry began to claim leadership.
+  store_version leadership_version;
   std::uint64_t term = 0;  ///< Highest term seen in answers.
   /// Moving average that starts with this estimate.
   duration response_time = std::chrono::milliseconds(15);
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -223,7 +223,7 @@
   out.domain = domain_id("a");
   out.claims_lead = is_primary;
   out.born_ms = 1;
-  out.revision = 10;
+  out.version.revision = 10;
   return out;
 }
 
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -258,8 +258,8 @@
 
 BOOST_AUTO_TEST_CASE(upstream_update_round_trip) {
   upstream_update update;
-  update.from_revision = 7;
-  update.to_revision = 9;
+  update.from = {2, 7};
+  update.to = {2, 9};
   upstream_change change;
   change.entry.id = database_id("i-1");
   change.entry.address = {0x0a010203, 8080};
@@ -267,7 +267,7 @@
   update.changes.items = {change};
   auto decoded = decode<peer_message>(encode(peer_message(update)));
   const auto& read = std::get<upstream_update>(decoded);
-  BOOST_TEST(read.to_revision == 9U);
+  BOOST_TEST((read.to == store_version{2, 9}));
   BOOST_TEST(read.changes.items.at(0).entry.draining);
   BOOST_TEST(read.changes.items.at(0).entry.address.port == 8080U);
 }
