Let fencing tokens rise over a restore of the store

Cause: a token was the one in the duty's object plus 1, and the restored store had lost the object. Ruled out: a write of before the restore that takes effect after it.

The generation makes up the high bits of a token, so that each generation begins above all tokens of those before, whatever was lost. A takeover ends when the store is restored: what it has written there may be gone, and the revisions for its conditions may belong to other writes.

--- a/include/toucanmux/proxy/takeover-messages.h
+++ b/include/toucanmux/proxy/takeover-messages.h
@@ -21,12 +21,18 @@
   std::vector<database_id> candidates;
   std::size_t replica_count = 0;  ///< All replicas, candidates or not.
   std::vector<member_id> responsive_peers;  ///< Instances heard from recently.
+  /// The store's generation, in which all of the takeover takes place.
+  std::uint64_t generation = 0;
   /// Revision of the group's leader record that this instance knows, 0 for
   /// none, and when it learned that record.
   std::uint64_t known_revision = 0;
   instant known_since;
 };
 
+/// The store was restored from an older copy, so what the takeover has written
+/// may be lost.
+struct store_restored {};
+
 /// The failure of the suspected leader is confirmed.
 struct failure_confirmed {};
 
@@ -83,9 +89,9 @@
 struct takeover_tick {};
 
 using takeover_event =
-    std::variant<takeover_start, failure_confirmed, suspicion_withdrawn,
-                 leases_released, duty_read, duty_written, position_received,
-                 promotion_ended, takeover_tick>;
+    std::variant<takeover_start, store_restored, failure_confirmed,
+                 suspicion_withdrawn, leases_released, duty_read, duty_written,
+                 position_received, promotion_ended, takeover_tick>;
 
 struct read_duty {
   group_id group;
--- a/include/toucanmux/proxy/takeover.h
+++ b/include/toucanmux/proxy/takeover.h
@@ -8,6 +8,7 @@
 
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/leader-lease.h"
+#include "toucanmux/proxy/store-version.h"
 #include "toucanmux/proxy/takeover-messages.h"
 
 namespace toucanmux {
@@ -77,6 +78,7 @@
   };
 
   void on(instant now, const takeover_start& start);
+  void on(instant now, const store_restored& event);
   void on(instant now, const failure_confirmed& event);
   void on(instant now, const suspicion_withdrawn& event);
   void on(instant now, const leases_released& event);
@@ -105,6 +107,9 @@
   bool must_yield(instant now, const duty_read& duty);
   void note_pending_promotion(instant now, const duty_read& duty);
   instant revision_seen_since(instant now, std::uint64_t revision);
+  store_version version_of(std::uint64_t revision) const {
+    return {request_.generation, revision};
+  }
 
   settings settings_;
   member_id self_;
@@ -130,10 +135,10 @@
   database_id pending_promotion_;
   /// An earlier takeover requested the pending promotion.
   bool promotion_inherited_ = false;
-  /// The duty's revision that records a refused promotion.
-  std::uint64_t refused_revision_ = 0;
-  // The revision of the last duty object read, and when it was first read.
-  std::uint64_t last_read_revision_ = 0;
+  /// The duty's version that records a refused promotion.
+  store_version refused_version_;
+  // The version of the last duty object read, and when it was first read.
+  store_version last_read_version_;
   instant last_read_since_;
   std::vector<takeover_action> actions_;
 };
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -46,6 +46,7 @@
       failover_client_(state.loop, state.settings.failover_address) {}
 
 void leader_service::tick() {
+  end_takeovers_of_older_generation();
   takeover::settings values;
   values.tokens_checked = state_.settings.tokens_checked;
   for (auto& [id, group] : state_.groups) {
@@ -55,6 +56,12 @@
   }
 }
 
+void leader_service::end_takeovers_of_older_generation() {
+  if (state_.store.current() == generation_) return;
+  generation_ = state_.store.current();
+  for (auto& [id, state] : groups_) step_takeover(id, store_restored{});
+}
+
 void leader_service::tick_group(upstream_group& group, group_state& state) {
   note_leader(group, state);
   if (state.replacement.running()) return tick_takeover(group, state);
@@ -175,6 +182,7 @@
   start.suspected = reason == cause::suspected;
   start.leaderless = reason == cause::leaderless;
   start.responsive_peers = peers_.active_peers();
+  start.generation = state_.store.current();
   if (const leader_record* record = group.record()) {
     start.known_revision = record->revision;
     start.known_since = state_.leader_leases.known_since(group.hash());
@@ -203,6 +211,7 @@
 
 void leader_service::step_takeover(const group_id& id,
                                    const takeover_event& event) {
+  end_takeovers_of_older_generation();
   auto at = groups_.find(id);
   if (at == groups_.end()) return;
   auto actions = at->second.replacement.step(state_.loop.now(), event);
--- a/src/proxy/leader-service.h
+++ b/src/proxy/leader-service.h
@@ -44,6 +44,7 @@
     leaderless
   };
 
+  void end_takeovers_of_older_generation();
   void tick_group(upstream_group& group, group_state& state);
   void tick_takeover(upstream_group& group, const group_state& state);
   void note_leader(const upstream_group& group, group_state& state);
@@ -71,6 +72,7 @@
   store_sync& store_;
   http_caller failover_client_;
   std::map<group_id, group_state> groups_;
+  std::uint64_t generation_ = 0;  ///< Of the store, at the last tick.
 };
 
 }  // namespace toucanmux
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -4,6 +4,18 @@
 
 namespace toucanmux {
 
+namespace {
+
+// The generation makes up the high bits, so that a token rises although a
+// restored store has lost the last one.
+constexpr unsigned token_count_bits = 32;
+
+std::uint64_t next_token(std::uint64_t generation, std::uint64_t last_token) {
+  return std::max(generation << token_count_bits, last_token) + 1;
+}
+
+}  // namespace
+
 std::vector<takeover_action> takeover::step(instant now,
                                             const takeover_event& event) {
   actions_.clear();
@@ -25,6 +37,10 @@
   actions_.emplace_back(read_duty{start.group});
 }
 
+void takeover::on(instant, const store_restored&) {
+  if (running()) finish(takeover_outcome::no_duty);
+}
+
 void takeover::on(instant now, const failure_confirmed&) {
   if (!running()) return;
   failure_confirmed_ = true;
@@ -63,7 +79,7 @@
   bool revoked = duty.exists && duty.phase == leadership_phase::revoked;
   revoked_before_ = revoked && duty.revision == request_.known_revision;
   revoked_at_ = request_.known_since;
-  token_ = duty.token + 1;
+  token_ = next_token(request_.generation, duty.token);
   duty_revision_ = duty.exists ? duty.revision : 0;
   write_record(now, phase::revoking, leadership_phase::revoked,
                request_.leader);
@@ -71,8 +87,8 @@
 
 instant takeover::revision_seen_since(instant now, std::uint64_t revision) {
   if (revision == request_.known_revision) return request_.known_since;
-  if (revision != last_read_revision_) {
-    last_read_revision_ = revision;
+  if (version_of(revision) != last_read_version_) {
+    last_read_version_ = version_of(revision);
     last_read_since_ = now;
   }
   return last_read_since_;
@@ -97,7 +113,7 @@
 // repeated request was answered.
 void takeover::note_pending_promotion(instant now, const duty_read& duty) {
   if (!duty.exists || duty.pending_promotion.empty()) return;
-  if (duty.revision == refused_revision_) return;
+  if (version_of(duty.revision) == refused_version_) return;
   auto max_age =
       settings_.promotion_lifetime + settings_.promotion_send_timeout;
   if (now - revision_seen_since(now, duty.revision) >= max_age) return;
@@ -189,7 +205,7 @@
                         new_leader_);
   }
   if (result.outcome == promotion_outcome::refused)
-    refused_revision_ = duty_revision_;
+    refused_version_ = version_of(duty_revision_);
   finish(takeover_outcome::not_named);
 }
 
--- a/test/lease-world.cc
+++ b/test/lease-world.cc
@@ -12,7 +12,7 @@
   static void visit(const takeover& inspected, Add add) {
     add(static_cast<std::uint64_t>(inspected.phase_));
     if (!inspected.running()) {
-      add(inspected.refused_revision_);
+      add(inspected.refused_version_.revision);
       return;
     }
     add(inspected.phase_entered_at_);
@@ -35,8 +35,8 @@
     add(stable_hash(inspected.new_leader_.value));
     add(stable_hash(inspected.pending_promotion_.value));
     add(std::uint64_t{inspected.promotion_inherited_});
-    add(inspected.refused_revision_);
-    add(inspected.last_read_revision_);
+    add(inspected.refused_version_.revision);
+    add(inspected.last_read_version_.revision);
     add(inspected.last_read_since_);
   }
 };
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -207,8 +207,9 @@
     return !store.failovers().empty();
   });
   BOOST_TEST(store.failovers()[0].find("i-3") != std::string::npos);
-  BOOST_TEST(store.spec("toucanmux-duties", "ledger").find("\"token\":1") !=
-             std::string::npos);
+  BOOST_TEST(
+      store.spec("toucanmux-duties", "ledger").find("\"token\":4294967297") !=
+      std::string::npos);
   third.is_primary = true;
   write_heartbeat(third);
   run_until(
--- a/test/takeover-test.cc
+++ b/test/takeover-test.cc
@@ -479,3 +479,38 @@
   // A late answer is ignored.
   BOOST_TEST(replacement.step(start + 3s, duty(7, self)).empty());
 }
+
+// Guards against two promotions with one token: the store has lost the record
+// of the first.
+BOOST_AUTO_TEST_CASE(tokens_rise_over_a_restore_that_lost_the_last_one) {
+  takeover replacement({}, self);
+  auto request = start_event(false);
+  request.generation = 1;
+  replacement.step(start, request);
+  duty_read absent;
+  absent.store_reached = true;
+  auto actions = replacement.step(start, absent);
+  auto first_token = find<write_duty>(actions)->token;
+  replacement.step(start, store_restored{});
+  request.generation = 2;
+  replacement.step(start, request);
+  actions = replacement.step(start, absent);
+  auto token = find<write_duty>(actions)->token;
+  BOOST_TEST(token > first_token);
+  replacement.step(start, store_restored{});
+  replacement.step(start, request);
+  auto found = duty(token, self);
+  found.phase = leadership_phase::settled;
+  actions = replacement.step(start, found);
+  BOOST_TEST(find<write_duty>(actions)->token == token + 1);
+}
+
+// Guards against a promotion whose record the store has lost.
+BOOST_AUTO_TEST_CASE(a_takeover_ends_when_the_store_is_restored) {
+  takeover replacement({}, self);
+  revoke_and_release(replacement, start_event(false));
+  auto actions = replacement.step(start, store_restored{});
+  BOOST_TEST((outcome_of(actions) == takeover_outcome::no_duty));
+  BOOST_TEST(!replacement.running());
+  BOOST_TEST(replacement.step(start, position(database_id("i-2"), 9)).empty());
+}
