Continue from known leaders and a complete configuration after a restore

Callers could be served with a withdrawn key by an instance that started after a restore, and by a replaced leader whose successor's record was lost.

Cause: the state that a restored store shows was taken for its newest. The copy lacks what the operator and the instances wrote last; the operator writes it again within two seconds, and nobody wrote the leaders again. Leases were extended by lists of instances that may lack some, and a conditional write of before the restore could match a revision that was given out again.

The leaders: each generation has duty objects of a kind of its own, so no earlier write reaches them. A generation begins with one object, the base, that holds the leaders of all groups as the instances knew them; its creation decides for all. It is written once all live peers have reported the same records, or after 2 s by an instance that knows most, or from the copy if nobody knows any. Until it is there, and this instance is registered anew, no lease is extended, and no change of leader starts. Without waiting leases are only released early once those of older generations have ended.

The configuration: a read confirms it only if it was sent 2 s after the generation was first seen, or after the store's objects say that this is over. Peers' confirmations count as before, so that instances that start are not delayed.

--- a/include/toucanmux/proxy/config-read-policy.h
+++ b/include/toucanmux/proxy/config-read-policy.h
@@ -15,6 +15,9 @@
   struct situation {
     /// Confirmed at least once since the process started.
     bool confirmed = false;
+    /// For how long reads have been able to confirm the configuration; negative
+    /// while a restored store may lack its newest version.
+    duration confirmable_for = duration::max();
     duration confirmation_age{0};
     duration max_age{0};  ///< Older confirmations make a read due.
     /// A peer has a newer version than this instance.
@@ -36,9 +39,11 @@
 
  private:
   bool absent_ = false;
+  bool found_ = false;
   /// The last stale read did not find the version that a peer has.
   bool stale_read_lagged_ = false;
-  instant first_found_at_;
+  /// When a configuration appeared that this instance had polled for.
+  std::optional<instant> first_found_at_;
 };
 
 }  // namespace toucanmux
--- a/include/toucanmux/proxy/leader-lease.h
+++ b/include/toucanmux/proxy/leader-lease.h
@@ -38,8 +38,29 @@
   void mark_registered(instant now) {
     if (!registered_at_) registered_at_ = now;
   }
+  /// The store was restored: the list of instances may have lost this one, so
+  /// the lease is not extended before the next `mark_registered`.
+  void mark_restored() { registered_at_.reset(); }
+  /// Starts to follow the records of a generation of the store. Forgets those
+  /// of older generations.
+  void begin_generation(std::uint64_t generation);
+  /// Takes over the records of a peer that follows a newer generation, without
+  /// extending the lease.
+  /// @param records the records in the peer's report.
+  /// @param digest the digest of all records that the peer knows.
+  /// @return false, without effect, unless the report has all of them.
+  bool adopt_from_peer(instant now, std::uint64_t generation,
+                       std::uint64_t digest,
+                       std::span<const leader_record> records);
+  /// Whether the records are of this generation.
+  bool follows(std::uint64_t generation) const {
+    return generation_ == generation;
+  }
+  /// The generation of the records; 0 if there is none yet.
+  std::uint64_t generation() const { return generation_.value_or(0); }
   /// Applies a record from a peer or from this instance's own read or write.
-  /// Ignored unless newer than the known one. Does not extend the lease.
+  /// Ignored unless newer than the known one and of the same generation. Does
+  /// not extend the lease.
   void apply_record(instant now, const leader_record& record);
   /// Applies all records of the store and extends the lease.
   /// @param read_sent_at when the read of the store's newest state was sent.
@@ -68,7 +89,7 @@
   /// clock if there is none.
   instant known_since(std::uint32_t group) const;
   /// A digest of all records; equal on instances that know the same ones.
-  std::uint64_t digest() const { return digest_; }
+  std::uint64_t digest() const;
   /// The records that this instance learned less than `age` ago.
   std::vector<leader_record> recent(instant now, duration age) const;
 
@@ -82,6 +103,7 @@
 
   std::map<std::uint32_t, known_record> records_;
   std::uint64_t digest_ = 0;
+  std::optional<std::uint64_t> generation_;
   std::optional<instant> registered_at_;
   bool confirmed_ = false;
   instant confirmed_at_;
--- a/include/toucanmux/proxy/takeover-messages.h
+++ b/include/toucanmux/proxy/takeover-messages.h
@@ -47,6 +47,8 @@
 struct duty_read {
   bool store_reached = false;  ///< If false, all other fields are empty.
   bool exists = false;
+  /// The duty is part of the generation's base; the group has no object yet.
+  bool inherited = false;
   std::uint64_t token = 0;
   member_id holder;
   database_id replaces;
--- a/src/proxy/leader-lease.cc
+++ b/src/proxy/leader-lease.cc
@@ -12,7 +12,29 @@
 
 }  // namespace
 
+void leader_lease::begin_generation(std::uint64_t generation) {
+  generation_ = generation;
+  records_.clear();
+  digest_ = 0;
+}
+
+std::uint64_t leader_lease::digest() const {
+  return digest_ + mix(generation());
+}
+
+bool leader_lease::adopt_from_peer(instant now, std::uint64_t generation,
+                                   std::uint64_t digest,
+                                   std::span<const leader_record> records) {
+  std::uint64_t found = mix(generation);
+  for (const auto& record : records) found += digest_of(record);
+  if (found != digest) return false;
+  begin_generation(generation);
+  for (const auto& record : records) apply_record(now, record);
+  return true;
+}
+
 void leader_lease::apply_record(instant now, const leader_record& record) {
+  if (record.generation != generation()) return;
   auto [found, inserted] = records_.try_emplace(record.group);
   known_record& entry = found->second;
   if (!inserted && record.revision <= entry.record.revision) return;
@@ -31,7 +53,7 @@
 
 bool leader_lease::confirm_from_peer(instant moment,
                                      std::uint64_t peer_digest) {
-  if (peer_digest != digest_) return false;
+  if (peer_digest != digest()) return false;
   advance_confirmation(moment);
   return true;
 }
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -4,7 +4,6 @@
 #include <array>
 
 #include "toucanmux/hash.h"
-#include "toucanmux/process/rendezvous.h"
 
 namespace toucanmux {
 
@@ -95,7 +94,10 @@
       step_takeover(id, suspicion_withdrawn{});
     }
   }
+  // A lease of an older generation may be held by an instance that the
+  // restored list lacks.
   bool all_informed = state.replacement.awaiting_lease_expiry() &&
+                      state_.store.older_leases_ended(state_.loop.now()) &&
                       state.lease_holders &&
                       peers_.all_know_leaders(*state.lease_holders);
   if (all_informed) step_takeover(id, leases_released{});
@@ -119,6 +121,7 @@
   // takeover would only delay other calls.
   if (state_.leader_leases.age(state_.loop.now()) > store_age_limit)
     return cause::none;
+  if (!state_.leader_leases.follows(state_.store.current())) return cause::none;
   if (peer_takeover_active(group)) return cause::none;
   auto leader = group.leader();
   if (!leader) {
@@ -166,10 +169,8 @@
              witnesses.end();
     });
   }
-  replacers.push_back(state_.settings.self);
-  auto turns = choose_owners(group.id().value, replacers, replacers.size());
-  auto own = std::find(turns.begin(), turns.end(), state_.settings.self);
-  return turn_spacing * (own - turns.begin());
+  auto turn = peers_.own_turn(group.id().value, std::move(replacers));
+  return turn_spacing * static_cast<std::int64_t>(turn);
 }
 
 void leader_service::start_takeover(upstream_group& group, group_state& state,
@@ -223,9 +224,9 @@
   std::visit(
       overloaded{
           [&](const read_duty& request) {
-            store_.call(store_api::read_duty(request.group), call_timeout,
-                        [this, id](http_result&& result) {
-                          handle_duty_read(id, store_api::parse_duty(result));
+            store_.call(store_api::read_duty(request.group, generation_),
+                        call_timeout, [this, id](http_result&& result) {
+                          handle_duty_read(id, result);
                         });
           },
           [&](const write_duty& request) { write_duty_object(request); },
@@ -267,16 +268,18 @@
 }
 
 void leader_service::handle_duty_read(const group_id& id,
-                                      const duty_read& duty) {
+                                      const http_result& result) {
+  auto duty = store_api::parse_duty(result);
+  if (duty.store_reached && !duty.exists) duty = store_.inherited_duty(id);
   if (duty.exists) {
-    state_.leader_leases.apply_record(state_.loop.now(),
-                                      store_api::to_leader_record(id, duty));
+    state_.leader_leases.apply_record(
+        state_.loop.now(), store_api::to_leader_record(id, duty, generation_));
   }
   step_takeover(id, duty);
 }
 
 void leader_service::write_duty_object(const write_duty& request) {
-  store_.call(store_api::write_duty(request), call_timeout,
+  store_.call(store_api::write_duty(request, generation_), call_timeout,
               [this, request](http_result&& result) {
                 auto outcome = store_api::parse_duty_outcome(result);
                 if (outcome.outcome == duty_write_outcome::unknown) {
@@ -289,7 +292,7 @@
 // Reads the object after a write without an answer, which may have taken
 // effect.
 void leader_service::verify_write(const write_duty& request) {
-  store_.call(store_api::read_duty(request.group), call_timeout,
+  store_.call(store_api::read_duty(request.group, generation_), call_timeout,
               [this, request](http_result&& result) {
                 handle_duty_written(
                     request, store_api::duty_outcome_by_read(result, request));
@@ -302,7 +305,7 @@
   if (result.outcome == duty_write_outcome::written) {
     state_.leader_leases.apply_record(
         state_.loop.now(),
-        store_api::to_leader_record(request, result.revision));
+        store_api::to_leader_record(request, result.revision, generation_));
     peers_.report_now();
     if (request.phase == leadership_phase::revoked) {
       groups_.at(request.group).lease_holders.reset();
--- a/src/proxy/leader-service.h
+++ b/src/proxy/leader-service.h
@@ -57,7 +57,7 @@
   void execute(const group_id& id, const takeover_action& action);
   void query_database(const group_id& group, const database_id& id,
                       link_purpose kind, std::uint64_t term);
-  void handle_duty_read(const group_id& id, const duty_read& duty);
+  void handle_duty_read(const group_id& id, const http_result& result);
   void write_duty_object(const write_duty& request);
   void verify_write(const write_duty& request);
   void handle_duty_written(const write_duty& request,
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -80,6 +80,7 @@
   entry.known_peers = report.known_peers;
   entry.upstream_version = {report.store_generation, report.upstream_revision};
   entry.config_version = report.config_version;
+  entry.leader_generation = report.leader_generation;
   entry.leader_digest = report.leader_digest;
   entry.knowers_hash = report.knowers_hash;
   apply_gone_members(entry, report);
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -33,6 +33,7 @@
   /// The last stamp of this instance that it has received.
   std::uint64_t echoed_stamp = 0;
   std::uint64_t config_version = 0;
+  std::uint64_t leader_generation = 0;  ///< Of the leader records it has.
   /// Digest of the leader records that it has.
   std::uint64_t leader_digest = 0;
   std::uint64_t knowers_hash = 0;  ///< See `peer_report`; set by hubs.
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -168,6 +168,15 @@
 // The members learn of new records from their hub's next report.
 void peer_service::apply_leader_records(const peer_report& report) {
   auto digest_before = state_.leader_leases.digest();
+  // A generation that this instance has not seen yet may lack its registration.
+  bool adoptable =
+      report.leader_generation > state_.leader_leases.generation() &&
+      report.leader_generation <= state_.store.current();
+  if (adoptable) {
+    state_.leader_leases.adopt_from_peer(
+        state_.loop.now(), report.leader_generation, report.leader_digest,
+        report.leader_records.items);
+  }
   for (const auto& record : report.leader_records.items) {
     state_.leader_leases.apply_record(state_.loop.now(), record);
   }
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -6,6 +6,7 @@
 #include "toucanmux/codec.h"
 #include "toucanmux/hash.h"
 #include "toucanmux/process/datagram.h"
+#include "toucanmux/process/rendezvous.h"
 #include "toucanmux/proxy/peer-frame.h"
 
 namespace toucanmux {
@@ -43,7 +44,7 @@
 constexpr std::size_t max_leader_records = 24;
 constexpr std::ptrdiff_t max_backup_readers = 4;
 // Size of an encoded leader record.
-constexpr std::size_t leader_record_bytes = 21;
+constexpr std::size_t leader_record_bytes = 29;
 // A silent peer gets a report only in every fifth round.
 constexpr unsigned silent_rounds = 5;
 // Instances of a failure domain that get the sums in one round while the
@@ -187,6 +188,33 @@
       [&](const auto& id) { return short_hash(id.value) == member_hash; });
 }
 
+std::vector<store_recovery::peer_knowledge> peer_service::leader_knowledge(
+    instant since) const {
+  std::vector<store_recovery::peer_knowledge> out;
+  for (const auto& [id, entry] : peers_.all()) {
+    bool counts = entry.ever_heard && !entry.leaving &&
+                  peers_.is_alive(state_.loop.now(), entry);
+    if (!counts) continue;
+    out.push_back({{entry.leader_generation, entry.leader_digest},
+                   entry.heard_at > since});
+  }
+  return out;
+}
+
+bool peer_service::reader_follows(std::uint64_t generation) const {
+  const auto* reader = peers_.domain_reader(state_.loop.now());
+  return !reader || reader->leader_generation == generation;
+}
+
+std::size_t peer_service::own_turn(std::string_view task,
+                                   std::vector<member_id> others) const {
+  const auto& self = state_.settings.self;
+  others.push_back(self);
+  auto turns = choose_owners(task, others, others.size());
+  return static_cast<std::size_t>(std::find(turns.begin(), turns.end(), self) -
+                                  turns.begin());
+}
+
 bool peer_service::leader_records_differ() const {
   const auto* reader = peers_.domain_reader(state_.loop.now());
   return reader && reader->leader_digest != state_.leader_leases.digest();
@@ -363,6 +391,8 @@
     out.config_digest = state_.config->digest();
     out.config_age_ms = reported_age_ms(state_.confirmation.age(now));
   }
+  out.leader_generation =
+      static_cast<std::uint32_t>(state_.leader_leases.generation());
   out.leader_digest = state_.leader_leases.digest();
   out.leader_age_ms = reported_age_ms(state_.leader_leases.confirmed()
                                           ? state_.leader_leases.age(now)
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -12,6 +12,7 @@
 #include "proxy/udp-port.h"
 #include "toucanmux/proxy/peer-message.h"
 #include "toucanmux/proxy/peer-usage.h"
+#include "toucanmux/proxy/store-recovery.h"
 
 namespace toucanmux {
 
@@ -72,6 +73,16 @@
   }
   /// A peer has a newer configuration than this instance.
   bool peer_has_newer_config() const;
+  /// Which leader records the live peers know.
+  /// @param since whether they have reported since then.
+  std::vector<store_recovery::peer_knowledge> leader_knowledge(
+      instant since) const;
+  /// Whether the domain reader, if it is a peer, follows the leader records of
+  /// this generation of the store.
+  bool reader_follows(std::uint64_t generation) const;
+  /// This instance's place in the order in which it and others try a task.
+  std::size_t own_turn(std::string_view task,
+                       std::vector<member_id> others) const;
   /// The domain reader has other leader records than this instance.
   bool leader_records_differ() const;
   /// Whether this member is one of `active_peers()`.
--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,20 +77,40 @@
 http_call replace_member(const member_record& self, std::uint64_t revision);
 http_call remove_member(const member_id& id);
 
-http_call read_duty(const group_id& group);
+/// The duty objects of each generation of the store are of a kind of their own,
+/// so that a write of an older generation changes none, however late it takes
+/// effect.
+http_call read_duty(const group_id& group, std::uint64_t generation);
 /// `store_reached` is false if the store gave no usable answer.
 duty_read parse_duty(const http_result& result);
-http_call write_duty(const toucanmux::write_duty& request);
+http_call write_duty(const toucanmux::write_duty& request,
+                     std::uint64_t generation);
 duty_written parse_duty_outcome(const http_result& result);
 /// The record of a duty object for reports to peers.
 leader_record to_leader_record(const toucanmux::write_duty& request,
-                               std::uint64_t revision);
-leader_record to_leader_record(const group_id& group, const duty_read& duty);
-http_call list_duties(std::string_view after);
+                               std::uint64_t revision,
+                               std::uint64_t generation);
+leader_record to_leader_record(const group_id& group, const duty_read& duty,
+                               std::uint64_t generation);
+http_call list_duties(std::string_view after, std::uint64_t generation);
+struct group_duty {
+  group_id group;
+  duty_read duty;
+};
 struct duty_page {
-  std::vector<leader_record> records;
+  std::vector<group_duty> duties;
+  /// The duties as of the start of the generation; nothing if the page has no
+  /// base object.
+  std::optional<std::vector<group_duty>> base;
+  bool settled = false;  ///< An object says that the generation is settled.
   std::string continue_after;
 };
+/// Creates the base of a generation; fails if there is one.
+/// @param settled whether the generation is settled already.
+http_call create_base(std::span<const group_duty> duties, bool settled,
+                      std::uint64_t generation);
+/// Notes that the generation is settled.
+http_call create_settled_note(std::uint64_t generation);
 std::optional<duty_page> parse_duties(std::string_view body);
 /// The outcome of a write whose response was lost, from a later read of the
 /// duty.
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -25,10 +25,9 @@
 // Confirmations that pass through two hubs are older; at this age, a call to
 // the store still fits into that limit.
 constexpr duration max_member_config_age = milliseconds(3000);
-// Leases are shorter than the limit for withdrawn keys, so late confirmations
-// lead to a read of the duties sooner than to one of the configuration.
-constexpr duration max_mesh_duty_age = milliseconds(1300);
-constexpr duration max_member_duty_age = milliseconds(1600);
+// Until then instances that don't read the store wait for the confirmation of
+// the one that does.
+constexpr duration settled_report_time = milliseconds(400);
 constexpr duration retry_interval = milliseconds(400);
 // Several times the usual response time, so that calls to a slow store succeed
 // and a dead connection is noticed.
@@ -63,7 +62,8 @@
     : state_(state),
       peers_(peers),
       store_caller_(state.loop, state.settings.store_address),
-      watch_caller_(state.loop, state.settings.store_address) {}
+      watch_caller_(state.loop, state.settings.store_address),
+      duties_(state, peers, *this) {}
 
 void store_sync::start() {
   next_watch_ = state_.loop.now() + first_watch_delay;
@@ -76,13 +76,9 @@
     auto due_read = config_read_policy_.due_read(now, config_situation());
     if (due_read) read_config(*due_read);
   }
-  update_leader_difference();
-  if (!reading_duties_ && now >= next_duty_read_ && duty_read_due()) {
-    duties_.clear();
-    duties_sent_at_.reset();
-    read_duties({});
-  }
-  if (watch_from_ == 0 && !listing_ && now >= next_list_) list_upstreams({});
+  duties_.tick(registered_);
+  if (watch_from_ == 0 && !listing_ && now >= next_list_ && list_allowed())
+    list_upstreams({});
   if (update_reader_lag()) watch_from_ = 0;
   bool watch_needed =
       peers_.is_domain_reader() && watch_from_ != 0 && !watching_upstreams_;
@@ -133,8 +129,10 @@
   next_list_ = next_config_read_ = next_member_call_ = state_.loop.now();
   members_listed_ = registered_ = false;
   members_consistency_ = read_consistency::linearizable;
+  duties_.discard_older_generation();
   for (auto& [id, group] : state_.groups)
     group->watch().note_store_unreachable(state_.loop.now());
+  state_.loop.defer([this] { tick(); });
 }
 
 // Only the domain reader watches the databases, and its updates may be lost.
@@ -155,7 +153,12 @@
   return true;
 }
 
+// Before the operator has written again what a restore undid, no read confirms
+// the configuration.
 duration store_sync::max_config_age() const {
+  bool may_confirm =
+      state_.store.settled(state_.loop.now() - settled_report_time);
+  if (!may_confirm && !peers_.is_domain_reader()) return duration::max();
   using role = peer_directory::role;
   switch (peers_.own_role()) {
     case role::mesh:
@@ -170,7 +173,7 @@
   return max_member_config_age;
 }
 
-void store_sync::record_store_call(bool reached, std::string_view operation) {
+void store_sync::record_call(bool reached, std::string_view operation) {
   if (!reached) {
     for (auto& [id, group] : state_.groups) {
       group->watch().note_store_unreachable(state_.loop.now());
@@ -189,6 +192,7 @@
   out.confirmed = state_.confirmation.confirmed();
   out.confirmation_age = state_.confirmation.age(state_.loop.now());
   out.max_age = max_config_age();
+  out.confirmable_for = state_.store.settled_for(state_.loop.now());
   out.peer_has_newer = peers_.peer_has_newer_config();
   out.peer_confirms = !peers_.is_domain_reader();
   return out;
@@ -210,7 +214,7 @@
   reading_config_ = false;
   bool succeeded = result.answered && result.status == 200;
   bool absent = result.answered && result.status == 404;
-  record_store_call(succeeded || absent, "config");
+  record_call(succeeded || absent, "config");
   if (absent) config_read_policy_.record_absent();
   if (!succeeded) return;
   bool first_config = state_.config->version() == 0;
@@ -226,13 +230,22 @@
   config_read_policy_.record_read(state_.loop.now(), consistency,
                                   peer_has_newer);
   if (state_.config->version() == 0) return;
-  if (consistency == read_consistency::linearizable)
-    return state_.confirmation.confirm(result.sent_at);
+  if (consistency == read_consistency::linearizable) {
+    if (state_.store.settled(result.sent_at))
+      state_.confirmation.confirm(result.sent_at);
+    return;
+  }
   // A stale read confirms nothing; if a linearizable read is due, it follows at
   // once.
   next_config_read_ = state_.loop.now();
 }
 
+void store_sync::handle_settled() {
+  if (state_.confirmation.valid(state_.loop.now())) return;
+  next_config_read_ = state_.loop.now();
+  state_.loop.defer([this] { tick(); });
+}
+
 void store_sync::apply_config(std::string_view body) {
   try {
     auto new_config =
@@ -273,68 +286,12 @@
   peers_.expedite_reports();
 }
 
-duration store_sync::max_duty_age() const {
-  using role = peer_directory::role;
-  switch (peers_.own_role()) {
-    case role::mesh:
-      return peers_.is_domain_reader() ? domain_read_interval
-                                       : max_mesh_duty_age;
-    case role::hub:
-      return domain_read_interval;
-    case role::member:
-      break;
-  }
-  return peers_.is_backup_reader() ? max_member_duty_age : duration::max();
-}
-
-bool store_sync::duty_read_due() const {
-  const auto& leases = state_.leader_leases;
-  if (!registered_) return false;
-  if (!leases.confirmed()) return true;
+// The first list is needed once the configuration is confirmed, by a peer or by
+// a read of a settled generation.
+bool store_sync::list_allowed() const {
   instant now = state_.loop.now();
-  // A report of another peer may bring the change first.
-  bool differs =
-      leaders_differ_since_ && now - *leaders_differ_since_ > update_timeout;
-  return differs || leases.age(now) >= max_duty_age();
-}
-
-void store_sync::update_leader_difference() {
-  if (!peers_.leader_records_differ()) {
-    leaders_differ_since_.reset();
-  } else if (!leaders_differ_since_) {
-    leaders_differ_since_ = state_.loop.now();
-  }
-}
-
-void store_sync::read_duties(const std::string& after) {
-  reading_duties_ = true;
-  // No backoff for the domain reader: nobody sends statements to leaders until
-  // the leases are confirmed again.
-  bool is_domain_reader = peers_.is_domain_reader();
-  auto failures = is_domain_reader ? 0U : std::min(consecutive_failures_, 2U);
-  next_duty_read_ = state_.loop.now() + retry_interval * (1 + failures);
-  call(store_api::list_duties(after), call_timeout,
-       [this](http_result&& result) { handle_duties(std::move(result)); });
-}
-
-// Each page is at least as new as the moment when the first page's read was
-// sent.
-void store_sync::handle_duties(http_result&& result) {
-  reading_duties_ = false;
-  bool succeeded = result.answered && result.status == 200;
-  record_store_call(succeeded, "duties");
-  if (!succeeded) return;
-  auto page = store_api::parse_duties(result.body);
-  if (!page) return;
-  if (!duties_sent_at_) duties_sent_at_ = result.sent_at;
-  duties_.insert(duties_.end(), page->records.begin(), page->records.end());
-  if (!page->continue_after.empty()) {
-    return read_duties(page->continue_after);
-  }
-  bool lease_was_held = state_.leader_leases.valid(state_.loop.now());
-  state_.leader_leases.apply_records(state_.loop.now(), *duties_sent_at_,
-                                     duties_);
-  if (!lease_was_held && peers_.is_domain_reader()) peers_.report_now();
+  return upstreams_known_ || state_.store.settled(now) ||
+         state_.confirmation.valid(now);
 }
 
 void store_sync::list_upstreams(const std::string& after) {
@@ -344,9 +301,11 @@
   if (after.empty()) listed_upstreams_.clear();
   // A stale first list is enough: an instance that watches gets what the list
   // lacks from the watch, and the others notice that they lag behind the
-  // reader.
-  auto consistency = upstreams_known_ ? read_consistency::linearizable
-                                      : read_consistency::stale;
+  // reader. After a restore it might be of the time before.
+  bool stale_is_enough =
+      !upstreams_known_ && state_.store.settled(state_.loop.now());
+  auto consistency = stale_is_enough ? read_consistency::stale
+                                     : read_consistency::linearizable;
   call(store_api::list_upstreams(after, consistency), call_timeout,
        [this](http_result&& result) { handle_upstreams(std::move(result)); });
 }
@@ -354,7 +313,7 @@
 void store_sync::handle_upstreams(http_result&& result) {
   listing_ = false;
   bool succeeded = result.answered && result.status == 200;
-  record_store_call(succeeded, "list");
+  record_call(succeeded, "list");
   if (!succeeded) return;
   auto page = store_api::parse_upstreams(result.body);
   if (!page) return;
@@ -437,7 +396,7 @@
     return tick();
   }
   bool succeeded = result.answered && result.status == 200;
-  if (!succeeded) return record_store_call(false, "watch");
+  if (!succeeded) return record_call(false, "watch");
   auto events = store_api::parse_upstream_events(result.body);
   if (!events) {
     watch_from_ = 0;
@@ -494,7 +453,7 @@
          auto* found = state_.find_group(group);
          bool succeeded =
              result.answered && (result.status == 200 || result.status == 404);
-         record_store_call(succeeded, "entry");
+         record_call(succeeded, "entry");
          if (!succeeded || !found) return;
          std::optional<std::uint64_t> sequence;
          if (result.status == 200) {
@@ -522,7 +481,7 @@
   registering_ = false;
   bool exists = result.answered && result.status == 409;
   bool succeeded = result.answered && result.status / 100 == 2;
-  record_store_call(succeeded || exists, "register");
+  record_call(succeeded || exists, "register");
   if (exists) replace_own_record(result.body);
   registered_ = succeeded || exists;
   if (!registered_) return;
@@ -566,7 +525,7 @@
                                 http_result&& result) {
   listing_members_ = false;
   bool succeeded = result.answered && result.status == 200;
-  record_store_call(succeeded, "members");
+  record_call(succeeded, "members");
   if (!succeeded) return;
   auto page = store_api::parse_members(result.body);
   if (!page) return;
@@ -585,7 +544,7 @@
   if (!registered_ && consistency == read_consistency::stale)
     return register_self();
   // The duties are read once the own record is known.
-  if (!state_.leader_leases.confirmed()) tick();
+  if (!state_.leader_leases.follows(state_.store.current())) tick();
 }
 
 // Forgets silent members whose records were removed by another instance.
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "proxy/duty-sync.h"
 #include "proxy/http-caller.h"
 #include "proxy/peer-service.h"
 #include "proxy/proxy-state.h"
@@ -28,6 +29,16 @@
   void call(http_call request, duration timeout,
             http_caller::result_handler on_done);
   std::uint64_t calls() const { return store_caller_.calls(); }
+  /// Notes whether a call reached the store.
+  void record_call(bool reached, std::string_view operation);
+  unsigned consecutive_failures() const { return consecutive_failures_; }
+  /// The store's generation has become settled: reads of the configuration
+  /// confirm it from now on.
+  void handle_settled();
+  /// The group's duty as of the start of the store's generation.
+  duty_read inherited_duty(const group_id& group) const {
+    return duties_.inherited_duty(group);
+  }
   /// True once the databases were listed.
   bool upstreams_known() const { return upstreams_known_; }
 
@@ -47,10 +58,7 @@
   void handle_config(read_consistency consistency, http_result&& result);
   config_read_policy::situation config_situation() const;
   void apply_config(std::string_view body);
-  bool duty_read_due() const;
-  void update_leader_difference();
-  void read_duties(const std::string& after);
-  void handle_duties(http_result&& result);
+  bool list_allowed() const;
   void list_upstreams(const std::string& after);
   void handle_upstreams(http_result&& result);
   void apply_upstream_list();
@@ -71,23 +79,16 @@
   void check_members();
   void forget_unregistered();
   void remove_silent_members();
-  void record_store_call(bool reached, std::string_view operation);
   duration max_config_age() const;
-  duration max_duty_age() const;
 
   proxy_state& state_;
   peer_service& peers_;
   http_caller store_caller_;
   http_caller watch_caller_;
+  duty_sync duties_;
   config_read_policy config_read_policy_;
   bool reading_config_ = false;
   instant next_config_read_;
-  bool reading_duties_ = false;
-  instant next_duty_read_;
-  std::vector<leader_record> duties_;  ///< Records of the pages read so far.
-  std::optional<instant> leaders_differ_since_;
-  /// When the read of the first page was sent.
-  std::optional<instant> duties_sent_at_;
   std::string last_config_body_;
   bool listing_ = false;
   instant next_list_;
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -80,7 +80,7 @@
   revoked_before_ = revoked && duty.revision == request_.known_revision;
   revoked_at_ = request_.known_since;
   token_ = next_token(request_.generation, duty.token);
-  duty_revision_ = duty.exists ? duty.revision : 0;
+  duty_revision_ = duty.exists && !duty.inherited ? duty.revision : 0;
   write_record(now, phase::revoking, leadership_phase::revoked,
                request_.leader);
 }
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -245,10 +245,15 @@
 
 void upstream_group::update_leader() {
   const leader_record* stored = record();
-  if (stored && stored->revision != seen_record_revision_) {
-    seen_record_revision_ = stored->revision;
-    previous_term_ = leader_term();
-    for (auto& up : upstreams_) up->confirmed_leadership = false;
+  if (stored && stored->version() != seen_record_.version()) {
+    bool inherited = stored->generation != seen_record_.generation &&
+                     stored->leader == seen_record_.leader &&
+                     stored->phase == seen_record_.phase;
+    seen_record_ = *stored;
+    if (!inherited) {
+      previous_term_ = leader_term();
+      for (auto& up : upstreams_) up->confirmed_leadership = false;
+    }
   }
   if (auto expected = expected_leader_index()) {
     watch_.set_leader(upstreams_[*expected]->entry.id);
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -191,9 +191,8 @@
   position_samples samples_;
   leader_watch watch_;
   std::optional<database_id> logged_leader_;
-  std::uint64_t seen_record_revision_ = 0;
-  /// `leader_term()` when the record with `seen_record_revision_` was first
-  /// seen.
+  leader_record seen_record_;
+  /// `leader_term()` when `seen_record_` was first seen.
   std::uint64_t previous_term_ = 0;
   instant samples_requested_at_;
   probe_mode probe_mode_ = probe_mode::own;
--- a/test/config-read-policy-test.cc
+++ b/test/config-read-policy-test.cc
@@ -70,4 +70,18 @@
   BOOST_TEST(no_read());
 }
 
+// Guards against a read by every instance several times a second while no read
+// can confirm anything.
+BOOST_AUTO_TEST_CASE(nothing_is_read_again_before_it_can_be_confirmed) {
+  current.confirmable_for = -2s;
+  BOOST_TEST(linearizable());
+  policy.record_read(now, read_consistency::linearizable, false);
+  BOOST_TEST(no_read());
+  current.peer_has_newer = true;
+  BOOST_TEST(stale());
+  current.peer_has_newer = false;
+  current.confirmable_for = 0s;
+  BOOST_TEST(linearizable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/leader-lease-test.cc
+++ b/test/leader-lease-test.cc
@@ -91,3 +91,59 @@
   BOOST_TEST(leases.recent(start + 1s, 4s).size() == 1U);
   BOOST_TEST(leases.recent(start + 4s, 4s).empty());
 }
+
+// Guards against a lease that no replacement waits for: the restored list of
+// instances may lack this one.
+BOOST_AUTO_TEST_CASE(a_restore_ends_the_extension_of_the_lease) {
+  auto leases = registered();
+  leases.begin_generation(1);
+  leases.apply_records(start, start, {});
+  leases.mark_restored();
+  leases.apply_records(start + 2s, start + 2s, {});
+  BOOST_TEST(leases.valid(start + leader_lease::length - 1ms));
+  BOOST_TEST(!leases.valid(start + leader_lease::length));
+  leases.mark_registered(start + 3s);
+  leases.apply_records(start + 3s, start + 3s, {});
+  BOOST_TEST(leases.valid(start + 3s));
+}
+
+BOOST_AUTO_TEST_CASE(records_of_another_generation_do_not_count) {
+  auto leases = registered();
+  leases.begin_generation(1);
+  auto lost = record(50, leadership_phase::settled, 3);
+  lost.generation = 1;
+  leases.apply_record(start, lost);
+  leases.begin_generation(2);
+  BOOST_TEST(!leases.find(group));
+  auto current = record(41, leadership_phase::settled, 4);
+  current.generation = 2;
+  leases.apply_record(start, current);
+  leases.apply_record(start, lost);
+  BOOST_TEST(leases.find(group)->leader == 4U);
+  // The same revisions in two generations are different records.
+  auto other = registered();
+  other.begin_generation(1);
+  current.generation = 1;
+  other.apply_record(start, current);
+  BOOST_TEST(other.digest() != leases.digest());
+}
+
+BOOST_AUTO_TEST_CASE(a_generation_is_adopted_from_a_complete_report_only) {
+  auto peer = registered();
+  peer.begin_generation(2);
+  auto first = record(41, leadership_phase::settled, 4);
+  first.generation = 2;
+  peer.apply_record(start, first);
+  auto second = first;
+  second.group = group + 1;
+  peer.apply_record(start, second);
+  auto leases = registered();
+  std::vector<leader_record> part{first};
+  BOOST_TEST(!leases.adopt_from_peer(start, 2, peer.digest(), part));
+  BOOST_TEST(leases.generation() == 0U);
+  BOOST_TEST(
+      leases.adopt_from_peer(start, 2, peer.digest(), peer.recent(start, 1s)));
+  BOOST_TEST(leases.follows(2));
+  BOOST_TEST(leases.digest() == peer.digest());
+  BOOST_TEST(!leases.confirmed());
+}
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -207,9 +207,8 @@
     return !store.failovers().empty();
   });
   BOOST_TEST(store.failovers()[0].find("i-3") != std::string::npos);
-  BOOST_TEST(
-      store.spec("toucanmux-duties", "ledger").find("\"token\":4294967297") !=
-      std::string::npos);
+  BOOST_TEST(store.spec("toucanmux-duties-1", "group-ledger")
+                 .find("\"token\":4294967297") != std::string::npos);
   third.is_primary = true;
   write_heartbeat(third);
   run_until(
@@ -222,7 +221,7 @@
   run_until([&] { return ready(); });
   auto caller = connect();
   caller->request("QUERY 1 PUT 1a4 x");
-  store.put("toucanmux-duties", "ledger",
+  store.put("toucanmux-duties-1", "group-ledger",
             R"({"token":1,"holder":"edge-9","replaces":"i-1",
                 "phase":"settled","leader":"i-2"})");
   second.is_primary = true;
--- a/test/standin/proxy/platform-stub.cc
+++ b/test/standin/proxy/platform-stub.cc
@@ -172,7 +172,10 @@
 platform_stub::platform_stub(event_loop& loop)
     : loop_(loop), listener_(loop, {loopback, 0}, [this](int descriptor) {
         sessions_.push_back(std::make_unique<session>(*this, descriptor));
-      }) {}
+      }) {
+  // Instances have used the store before.
+  put("toucanmux-duties-1", "base", R"({"settled":true,"groups":[]})");
+}
 
 platform_stub::~platform_stub() = default;
 
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -146,11 +146,13 @@
                      leadership_phase::named,
                      database_id("i-2"),
                      database_id("i-2")};
-  auto call = store_api::write_duty(request);
+  auto call = store_api::write_duty(request, 2);
   BOOST_TEST(call.method == "PUT");
+  // A write that takes effect after a restore changes no object in use.
+  BOOST_TEST(call.target == "/objects/toucanmux-duties-2/group-ledger");
   BOOST_TEST(call.body.find("\"revision\":412") != std::string::npos);
   request.revision = 0;
-  BOOST_TEST(store_api::write_duty(request).method == "POST");
+  BOOST_TEST(store_api::write_duty(request, 2).method == "POST");
   http_result result;
   auto outcome = [&] { return store_api::parse_duty_outcome(result).outcome; };
   BOOST_TEST((outcome() == duty_write_outcome::unknown));
@@ -179,23 +181,59 @@
 
 BOOST_AUTO_TEST_CASE(duties_are_parsed_as_leader_records) {
   auto found = store_api::parse_duties(
-      R"({"items":[{"meta":{"name":"ledger","revision":7},"spec":{"token":2,
-          "holder":"edge-1","phase":"revoked","leader":"i-1"}},
-          {"meta":{"name":"stock","revision":9},"spec":{"token":2}},
+      R"({"items":[{"meta":{"name":"group-ledger","revision":7},"spec":{
+          "token":2,"holder":"edge-1","phase":"revoked","leader":"i-1"}},
+          {"meta":{"name":"group-stock","revision":9},"spec":{"token":2}},
           5,{"spec":{}}],"more":false})");
   BOOST_REQUIRE(found.has_value());
-  BOOST_REQUIRE(found->records.size() == 2U);
+  BOOST_REQUIRE(found->duties.size() == 2U);
   BOOST_TEST(found->continue_after.empty());
-  const leader_record& first = found->records[0];
+  BOOST_TEST(!found->base.has_value());
+  BOOST_TEST(!found->settled);
+  const auto& [group, duty] = found->duties[0];
+  auto first = store_api::to_leader_record(group, duty, 3);
   BOOST_TEST(first.group == short_hash("ledger"));
-  BOOST_TEST(first.revision == 7U);
+  BOOST_TEST((first.version() == store_version{3, 7}));
   BOOST_TEST((first.phase == leadership_phase::revoked));
   BOOST_TEST(first.leader == short_hash("i-1"));
   BOOST_TEST(first.holder == short_hash("edge-1"));
-  BOOST_TEST((found->records[1].phase == leadership_phase::settled));
+  BOOST_TEST((found->duties[1].duty.phase == leadership_phase::settled));
   BOOST_TEST(!store_api::parse_duties("[").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_base_of_a_generation_has_the_duties_of_all_groups) {
+  duty_read duty;
+  duty.holder = member_id("edge-1");
+  duty.token = 8;
+  duty.phase = leadership_phase::named;
+  duty.leader = duty.pending_promotion = database_id("i-2");
+  std::vector<store_api::group_duty> duties{{group_id("ledger"), duty}};
+  auto call = store_api::create_base(duties, false, 4);
+  BOOST_TEST(call.method == "POST");
+  BOOST_TEST(call.target == "/objects/toucanmux-duties-4");
+  // The store adds the revision.
+  auto stored = call.body;
+  auto name = stored.find("\"name\"");
+  BOOST_REQUIRE(name != std::string::npos);
+  stored.insert(name, "\"revision\":61,");
+  auto found = store_api::parse_duties(page(stored));
+  BOOST_REQUIRE(found.has_value() && found->base.has_value());
+  BOOST_TEST(!found->settled);
+  BOOST_REQUIRE(found->base->size() == 1U);
+  const auto& [group, inherited] = found->base->front();
+  BOOST_TEST(group.value == "ledger");
+  BOOST_TEST(inherited.inherited);
+  BOOST_TEST(inherited.revision == 61U);
+  BOOST_TEST(inherited.token == 8U);
+  BOOST_TEST((inherited.phase == leadership_phase::named));
+  BOOST_TEST(inherited.leader.value == "i-2");
+  BOOST_TEST(inherited.pending_promotion.value == "i-2");
+  call = store_api::create_base({}, true, 4);
+  BOOST_TEST(store_api::parse_duties(page(call.body))->settled);
+  call = store_api::create_settled_note(4);
+  BOOST_TEST(store_api::parse_duties(page(call.body))->settled);
+}
+
 BOOST_AUTO_TEST_CASE(promotion_request_carries_holder_and_token) {
   auto call = store_api::request_promotion(
       {group_id("ledger"), database_id("i-2"), member_id("edge-1"), 8});
--- a/test/store-generation-test.cc
+++ b/test/store-generation-test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/store-version.h"
 
 using namespace toucanmux;
@@ -47,3 +48,29 @@
   BOOST_TEST((store_version{1, 90} < store_version{2, 10}));
   BOOST_TEST((store_version{2, 9} < store_version{2, 10}));
 }
+
+// Guards against confirming an older configuration before the operator has
+// written the newer one again.
+BOOST_AUTO_TEST_CASE(a_generation_settles_after_the_time_for_repeated_writes) {
+  store_generation store;
+  BOOST_TEST(!store.settled(start));
+  store.observe(start, 1);
+  BOOST_TEST(!store.settled(start + store_generation::rewrite_time - 1ms));
+  BOOST_TEST(store.settled(start + store_generation::rewrite_time));
+  // Seen by an instance that starts later, the store says so.
+  store_generation later;
+  later.observe(start, 1);
+  later.mark_settled(start + 10ms);
+  BOOST_TEST(!later.settled(start + 9ms));
+  BOOST_TEST(later.settled(start + 10ms));
+  later.observe(start + 1s, 2);
+  BOOST_TEST(!later.settled(start + 1s + 10ms));
+}
+
+BOOST_AUTO_TEST_CASE(leases_of_older_generations_end_in_time) {
+  store_generation store;
+  store.observe(start, 2);
+  BOOST_TEST(
+      !store.older_leases_ended(start + leader_lease::expiry_wait - 1ms));
+  BOOST_TEST(store.older_leases_ended(start + leader_lease::expiry_wait));
+}
--- a/test/store-restore-test.cc
+++ b/test/store-restore-test.cc
@@ -125,7 +125,7 @@
 // its successor is lost.
 BOOST_AUTO_TEST_CASE(an_instance_that_starts_learns_of_a_lost_leader_record) {
   store.save_copy();
-  store.put("toucanmux-duties", "ledger",
+  store.put("toucanmux-duties-1", "group-ledger",
             R"({"token":1,"holder":"edge-9","replaces":"i-1",
                 "phase":"settled","leader":"i-2"})");
   second.is_primary = true;
