Keep the age of leader records over a restore

Cause: adopting a generation's base counted as learning its records anew, so pending promotions seemed younger. A record that a generation inherits unchanged keeps its age; the reports still carry it as new. An instance that has adopted the base from a peer's report writes none any more.

--- a/include/toucanmux/proxy/leader-lease.h
+++ b/include/toucanmux/proxy/leader-lease.h
@@ -85,8 +85,8 @@
 
   /// The group's record; null if its leader was never replaced.
   const leader_record* find(std::uint32_t group) const;
-  /// When this instance learned the group's present record; the epoch of the
-  /// clock if there is none.
+  /// When this instance learned the content of the group's present record, in
+  /// this or the previous generation; the epoch of the clock if there is none.
   instant known_since(std::uint32_t group) const;
   /// A digest of all records; equal on instances that know the same ones.
   std::uint64_t digest() const;
@@ -96,12 +96,14 @@
  private:
   struct known_record {
     leader_record record;
-    instant known_at;
+    instant known_at;    ///< When its content was first known.
+    instant applied_at;  ///< When its version was.
   };
 
   void advance_confirmation(instant moment);
 
   std::map<std::uint32_t, known_record> records_;
+  std::map<std::uint32_t, known_record> older_records_;
   std::uint64_t digest_ = 0;
   std::optional<std::uint64_t> generation_;
   std::optional<instant> registered_at_;
--- a/include/toucanmux/proxy/store-version.h
+++ b/include/toucanmux/proxy/store-version.h
@@ -13,7 +13,12 @@
   std::uint64_t generation = 0;
   std::uint64_t revision = 0;
 
-  auto operator<=>(const store_version&) const = default;
+  bool operator==(const store_version&) const = default;
+  std::strong_ordering operator<=>(const store_version& other) const {
+    auto by_generation = generation <=> other.generation;
+    return std::is_eq(by_generation) ? revision <=> other.revision
+                                     : by_generation;
+  }
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/proxy/duty-sync.cc
+++ b/src/proxy/duty-sync.cc
@@ -210,6 +210,8 @@
 }
 
 void duty_sync::write_base_if_due() {
+  // A peer's report may have brought the base.
+  if (state_.leader_leases.follows(state_.store.current())) recovery_.reset();
   instant now = state_.loop.now();
   bool may_write = peers_.may_replace_leaders() && !writing_base_;
   if (!recovery_.missing_since() || !may_write || now < next_base_write_)
--- a/src/proxy/leader-lease.cc
+++ b/src/proxy/leader-lease.cc
@@ -1,5 +1,7 @@
 #include "toucanmux/proxy/leader-lease.h"
 
+#include <utility>
+
 #include "toucanmux/hash.h"
 
 namespace toucanmux {
@@ -10,11 +12,16 @@
   return mix(mix(record.group) ^ record.revision);
 }
 
+bool has_same_content(const leader_record& one, const leader_record& other) {
+  return one.phase == other.phase && one.leader == other.leader &&
+         one.pending_promotion == other.pending_promotion;
+}
+
 }  // namespace
 
 void leader_lease::begin_generation(std::uint64_t generation) {
   generation_ = generation;
-  records_.clear();
+  older_records_ = std::exchange(records_, {});
   digest_ = 0;
 }
 
@@ -40,7 +47,12 @@
   if (!inserted && record.revision <= entry.record.revision) return;
   if (!inserted) digest_ -= digest_of(entry.record);
   digest_ += digest_of(record);
-  entry = {record, now};
+  // What a new generation inherits is not news: a promotion that was pending
+  // before ends no later.
+  auto older = older_records_.find(record.group);
+  bool inherited = inserted && older != older_records_.end() &&
+                   has_same_content(older->second.record, record);
+  entry = {record, inherited ? older->second.known_at : now, now};
 }
 
 // Records known before may be newer than the list; `apply_record` keeps those.
@@ -78,7 +90,7 @@
                                                 duration age) const {
   std::vector<leader_record> out;
   for (const auto& [group, entry] : records_) {
-    if (now - entry.known_at < age) out.push_back(entry.record);
+    if (now - entry.applied_at < age) out.push_back(entry.record);
   }
   return out;
 }
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -102,11 +102,12 @@
                            duration timeout,
                            http_caller::result_handler on_done) {
   auto sent_in = state_.store.current();
-  caller.call(std::move(request), timeout,
-              [this, sent_in, on_done = std::move(on_done)](auto&& result) {
-                check_generation(sent_in, result);
-                on_done(std::move(result));
-              });
+  caller.call(
+      std::move(request), timeout,
+      [this, sent_in, on_done = std::move(on_done)](http_result&& result) {
+        check_generation(sent_in, result);
+        on_done(std::move(result));
+      });
 }
 
 void store_sync::check_generation(std::uint64_t sent_in, http_result& result) {
--- a/test/leader-lease-test.cc
+++ b/test/leader-lease-test.cc
@@ -147,3 +147,24 @@
   BOOST_TEST(leases.digest() == peer.digest());
   BOOST_TEST(!leases.confirmed());
 }
+
+// Guards against a longer wait for a pending promotion after each restore.
+BOOST_AUTO_TEST_CASE(inherited_records_are_as_old_as_before_the_restore) {
+  auto leases = registered();
+  leases.begin_generation(1);
+  auto inherited = record(50, leadership_phase::named, 3);
+  inherited.generation = 1;
+  inherited.pending_promotion = 3;
+  leases.apply_record(start, inherited);
+  leases.begin_generation(2);
+  inherited.generation = 2;
+  inherited.revision = 41;
+  leases.apply_record(start + 4s, inherited);
+  BOOST_TEST((leases.known_since(group) == start));
+  BOOST_TEST(leases.recent(start + 5s, 3s).size() == 1U);
+  leases.begin_generation(3);
+  inherited.generation = 3;
+  inherited.leader = 4;
+  leases.apply_record(start + 6s, inherited);
+  BOOST_TEST((leases.known_since(group) == start + 6s));
+}
