Count generations from 1, whatever the store counts from

A store whose count begins with 0 showed no restore from 0 to 1: generation 0 also stood for no answer yet and for no records. The translation adds 1, and a store that counts nothing is in its first generation.

With the count as the store shows it store-restore-test, whose store begins with 0 now, does not get beyond its first case.

--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -46,10 +46,11 @@
   std::uint64_t revision = 0;
 };
 
-/// How often the store was restored from an older copy, as far as an answer
-/// tells. A restore undoes acknowledged writes and lets revisions start over
-/// from the copy, so revisions are only comparable within one generation.
-std::optional<std::uint64_t> store_generation(const http_result& result);
+/// The generation of the store that gave an answer: 1, and one more for each
+/// restore from an older copy. A restore undoes acknowledged writes and lets
+/// revisions start over from the copy, so revisions are only comparable within
+/// one generation.
+std::uint64_t store_generation(const http_result& result);
 
 http_call read_config(read_consistency consistency);
 /// The store's revision of an object; 0 if the body is malformed.
--- a/src/proxy/store-generation.cc
+++ b/src/proxy/store-generation.cc
@@ -7,12 +7,11 @@
 namespace toucanmux {
 
 bool store_generation::observe(instant now, std::uint64_t generation) {
-  bool newer = generation > current_;
-  if (!newer && seen_since_) return false;
+  if (generation <= current_) return false;
   current_ = generation;
   seen_since_ = now;
   marked_settled_at_.reset();
-  return newer;
+  return true;
 }
 
 void store_generation::mark_settled(instant now) {
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -112,7 +112,7 @@
 
 void store_sync::check_generation(std::uint64_t sent_in, http_result& result) {
   if (!result.answered) return;
-  result.generation = store_api::store_generation(result).value_or(0);
+  result.generation = store_api::store_generation(result);
   auto was = state_.store.current();
   if (state_.store.observe(state_.loop.now(), result.generation)) {
     state_.log.write(journal_kind::dependency, "store_generation_changed",
