Count a drain from its change in the store

Cause: `draining_since` was the moment at which an instance learned of the drain. Ruled out: a shorter margin alone, which only moves the lateness that breaks the bound; removed entries, which are used for 3 s of 10 s. Change: `list_confirmation` holds the latest time as of which the database list is known to be current; a learned drain counts from it. Reports carry the age of the reader's list (4 bytes). The decisions on placement, admission and connections move into folders of their own.

--- a/include/toucanmux/proxy/connection-share.h
+++ b/include/toucanmux/proxy/connections/connection-share.h
@@ -15,6 +15,10 @@
                           std::span<const member_id> members,
                           std::string_view upstream, unsigned max_connections);
 
+/// The least connections that each of `members` instances may hold to one
+/// database.
+unsigned connection_quotient(unsigned members, unsigned max_connections);
+
 /// The connection quota of an instance at one database.
 struct connection_allowance {
   unsigned share = 0;    ///< This instance's part of the database's limit.
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -41,6 +41,8 @@
   std::uint32_t store_generation = 0;  ///< The newest that the sender knows.
   /// Of the sender's database list in this generation; 0 if that list is older.
   std::uint64_t upstream_revision = 0;
+  /// Time since that list was known to be current.
+  std::uint32_t upstream_age_ms = 0;
   std::uint64_t config_version = 0;
   std::uint32_t config_digest = 0;
   std::uint32_t config_age_ms = 0;  ///< Time since the version was confirmed.
@@ -62,23 +64,23 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(cereal::make_nvp("whose", sender_scope),
-            cereal::make_nvp("head", is_first_part), CEREAL_NVP(domain),
-            CEREAL_NVP(stamp), cereal::make_nvp("cycle", first_stamp),
-            CEREAL_NVP(all_teams), cereal::make_nvp("uses_in_all", total_uses),
-            CEREAL_NVP(leaving), CEREAL_NVP(lacks_store),
-            CEREAL_NVP(wants_reply),
-            cereal::make_nvp("settled", levels_settled), CEREAL_NVP(capacity),
-            cereal::make_nvp("known", known_peers),
-            CEREAL_NVP(store_generation), CEREAL_NVP(upstream_revision),
-            CEREAL_NVP(config_version), CEREAL_NVP(config_digest),
-            CEREAL_NVP(config_age_ms), CEREAL_NVP(leader_generation),
-            cereal::make_nvp("lead_digest", leader_digest),
-            cereal::make_nvp("lead_age_ms", leader_age_ms),
-            cereal::make_nvp("lead_knowers", knowers_hash),
-            cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
-            CEREAL_NVP(sightings), CEREAL_NVP(positions),
-            cereal::make_nvp("gone", gone));
+    archive(
+        cereal::make_nvp("whose", sender_scope),
+        cereal::make_nvp("head", is_first_part), CEREAL_NVP(domain),
+        CEREAL_NVP(stamp), cereal::make_nvp("cycle", first_stamp),
+        CEREAL_NVP(all_teams), cereal::make_nvp("uses_in_all", total_uses),
+        CEREAL_NVP(leaving), CEREAL_NVP(lacks_store), CEREAL_NVP(wants_reply),
+        cereal::make_nvp("settled", levels_settled), CEREAL_NVP(capacity),
+        cereal::make_nvp("known", known_peers), CEREAL_NVP(store_generation),
+        CEREAL_NVP(upstream_revision), CEREAL_NVP(upstream_age_ms),
+        CEREAL_NVP(config_version), CEREAL_NVP(config_digest),
+        CEREAL_NVP(config_age_ms), CEREAL_NVP(leader_generation),
+        cereal::make_nvp("lead_digest", leader_digest),
+        cereal::make_nvp("lead_age_ms", leader_age_ms),
+        cereal::make_nvp("lead_knowers", knowers_hash),
+        cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
+        CEREAL_NVP(sightings), CEREAL_NVP(positions),
+        cereal::make_nvp("gone", gone));
   }
 };
 
--- a/src/proxy/queue-admission.cc
+++ b/src/proxy/admission/queue-admission.cc
@@ -1,4 +1,4 @@
-#include "toucanmux/proxy/queue-admission.h"
+#include "toucanmux/proxy/admission/queue-admission.h"
 
 #include <algorithm>
 
--- a/src/proxy/connection-share.cc
+++ b/src/proxy/connections/connection-share.cc
@@ -1,4 +1,4 @@
-#include "toucanmux/proxy/connection-share.h"
+#include "toucanmux/proxy/connections/connection-share.h"
 
 #include <algorithm>
 
@@ -25,6 +25,10 @@
 
 }  // namespace
 
+unsigned connection_quotient(unsigned members, unsigned max_connections) {
+  return usable_connections(max_connections) / std::max(members, 1U);
+}
+
 unsigned connection_share(const member_id& self,
                           std::span<const member_id> members,
                           std::string_view upstream, unsigned max_connections) {
--- a/src/proxy/link-request.h
+++ b/src/proxy/link-request.h
@@ -5,7 +5,7 @@
 
 #include "proxy/upstream-link.h"
 #include "toucanmux/core.h"
-#include "toucanmux/proxy/upstream-choice.h"
+#include "toucanmux/proxy/placement/upstream-choice.h"
 
 namespace toucanmux {
 
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -158,6 +158,11 @@
   if (sent_at > state_.loop.now()) return;
   state_.leader_leases.confirm_from_peer(
       sent_at - milliseconds(report.leader_age_ms), report.leader_digest);
+  if (peers_.domain_reader(state_.loop.now()) == &sender) {
+    state_.upstream_confirmation.confirm_report(
+        upstream_version_, sender.upstream_version,
+        sent_at - milliseconds(report.upstream_age_ms));
+  }
   bool same_config = report.config_version != 0 &&
                      report.config_version == state_.config->version() &&
                      report.config_digest == state_.config->digest();
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -385,6 +385,9 @@
   out.store_generation = static_cast<std::uint32_t>(generation);
   if (upstream_version_.generation == generation)
     out.upstream_revision = upstream_version_.revision;
+  const auto& upstreams = state_.upstream_confirmation;
+  out.upstream_age_ms = reported_age_ms(
+      upstreams.confirmed() ? upstreams.age(now) : max_reported_age);
   bool domain = options.sender_scope == scope::domain;
   if (state_.confirmation.confirmed()) {
     out.config_version = state_.config->version();
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -43,6 +43,8 @@
     return members_;
   }
   std::size_t member_count() const { return members_->size(); }
+  /// The number of peers that this instance knows, alive or not.
+  std::size_t known_count() const { return peers_.all().size(); }
   std::vector<store_api::member_record> long_silent_members() const;
   /// A hub knows instances that this one has no record of.
   bool lacks_member_records() const;
--- a/src/proxy/upstream-choice.cc
+++ b/src/proxy/placement/upstream-choice.cc
@@ -1,4 +1,4 @@
-#include "toucanmux/proxy/upstream-choice.h"
+#include "toucanmux/proxy/placement/upstream-choice.h"
 
 #include <algorithm>
 
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -13,6 +13,7 @@
 #include "toucanmux/proxy/config-confirmation.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
+#include "toucanmux/proxy/list-confirmation.h"
 #include "toucanmux/proxy/rate-ledger.h"
 #include "toucanmux/proxy/store-generation.h"
 #include "toucanmux/request/retry-budget.h"
@@ -50,12 +51,14 @@
       std::make_shared<const fleet_config>();
   store_generation store;
   config_confirmation confirmation;
+  list_confirmation upstream_confirmation;
   leader_lease leader_leases;
   rate_ledger rate_limits;
   retry_budget read_retries;  ///< For reads that failed or were not
                               ///< answered in time.
   std::map<group_id, std::unique_ptr<upstream_group>> groups;
-  bool stopping = false;  ///< A signal asked the process to stop.
+  bool contended = false;  ///< By `is_contended`.
+  bool stopping = false;   ///< A signal asked the process to stop.
 };
 
 }  // namespace toucanmux
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -308,10 +308,13 @@
   auto consistency = stale_is_enough ? read_consistency::stale
                                      : read_consistency::linearizable;
   call(store_api::list_upstreams(after, consistency), call_timeout,
-       [this](http_result&& result) { handle_upstreams(std::move(result)); });
+       [this, consistency](http_result&& result) {
+         handle_upstreams(consistency, std::move(result));
+       });
 }
 
-void store_sync::handle_upstreams(http_result&& result) {
+void store_sync::handle_upstreams(read_consistency consistency,
+                                  http_result&& result) {
   listing_ = false;
   bool succeeded = result.answered && result.status == 200;
   record_call(succeeded, "list");
@@ -324,7 +327,10 @@
   }
   // The watch continues from the first page's revision, so changes during the
   // later pages are delivered again.
-  if (listed_upstreams_.empty()) watch_from_ = 0;
+  if (listed_upstreams_.empty()) {
+    watch_from_ = 0;
+    list_sent_at_ = result.sent_at;
+  }
   for (auto& entry : page->entries) {
     entry.version.generation = result.generation;
     listed_upstreams_.push_back(std::move(entry));
@@ -334,6 +340,8 @@
   }
   watch_from_ = page->revision;
   apply_upstream_list();
+  if (consistency == read_consistency::linearizable)
+    state_.upstream_confirmation.confirm_list(list_sent_at_);
 }
 
 void store_sync::apply_upstream_list() {
@@ -367,9 +375,11 @@
 }
 
 void store_sync::apply_entry(const upstream_entry& entry) {
+  auto changed_after =
+      state_.upstream_confirmation.changed_after(state_.loop.now());
   for (auto& [id, group] : state_.groups) {
     if (id == entry.group) {
-      group->set_entry(entry);
+      group->set_entry(entry, changed_after);
     } else if (group->find(entry.id)) {
       group->remove_entry(entry.id);
     }
@@ -411,6 +421,10 @@
       apply_entry(event.entry);
     }
   }
+  bool waited = events->events.empty() &&
+                state_.loop.now() - result.sent_at >= watch_wait;
+  state_.upstream_confirmation.confirm_watch(result.sent_at,
+                                             waited ? watch_wait : duration{0});
   if (events->revision != 0) watch_from_ = events->revision;
   if (!events->events.empty()) send_update(*events);
   if (peers_.is_domain_reader()) watch_upstreams();
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -60,7 +60,7 @@
   void apply_config(std::string_view body);
   bool list_allowed() const;
   void list_upstreams(const std::string& after);
-  void handle_upstreams(http_result&& result);
+  void handle_upstreams(read_consistency consistency, http_result&& result);
   void apply_upstream_list();
   void watch_upstreams();
   void handle_upstream_events(http_result&& result);
@@ -93,6 +93,7 @@
   bool listing_ = false;
   instant next_list_;
   std::vector<upstream_entry> listed_upstreams_;
+  instant list_sent_at_;  ///< When the first page of that list was requested.
   /// The revision to watch from; 0 requests a new list.
   std::uint64_t watch_from_ = 0;
   store_version changed_version_;  ///< Of the last change in the database list.
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -5,7 +5,7 @@
 #include "proxy/erase-deferred.h"
 #include "proxy/journal.h"
 #include "toucanmux/hash.h"
-#include "toucanmux/proxy/connection-share.h"
+#include "toucanmux/proxy/connections/connection-share.h"
 
 namespace toucanmux {
 
@@ -109,7 +109,8 @@
   database.allowance.limit = std::max(1U, database.allowance.limit);
 }
 
-void upstream_group::set_entry(const upstream_entry& entry) {
+void upstream_group::set_entry(const upstream_entry& entry,
+                               instant changed_after) {
   auto found =
       std::find_if(upstreams_.begin(), upstreams_.end(),
                    [&](const auto& up) { return up->entry.id == entry.id; });
@@ -130,7 +131,8 @@
     up.consecutive_failures = 0;
   }
   if (!entry.draining) up.draining_since.reset();
-  if (entry.draining && !up.draining_since) up.draining_since = loop_.now();
+  if (entry.draining && !up.draining_since)
+    up.draining_since = std::min(loop_.now(), changed_after);
   update_allowance(up);
   update_leader();
   schedule_serve();
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -10,11 +10,11 @@
 #include "proxy/link-request.h"
 #include "proxy/upstream-link.h"
 #include "proxy/upstream.h"
+#include "toucanmux/proxy/admission/queue-admission.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/leader-watch.h"
 #include "toucanmux/proxy/position-samples.h"
-#include "toucanmux/proxy/queue-admission.h"
 
 namespace toucanmux {
 
@@ -44,7 +44,10 @@
   void set_policy(const group_policy& policy) { policy_ = policy; }
   void set_members(std::shared_ptr<const std::vector<member_id>> members);
   /// Adds a database or updates its discovery entry.
-  void set_entry(const upstream_entry& entry);
+  /// @param changed_after no later than the entry's last change in the store;
+  /// the drain timeout is counted from it.
+  void set_entry(const upstream_entry& entry,
+                 instant changed_after = instant::max());
   /// Records that the database's discovery entry was removed.
   void remove_entry(const database_id& id);
 
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -4,9 +4,9 @@
 #include <vector>
 
 #include "proxy/upstream-link.h"
-#include "toucanmux/proxy/connection-share.h"
-#include "toucanmux/proxy/idle-timeout.h"
-#include "toucanmux/proxy/outcome-score.h"
+#include "toucanmux/proxy/connections/connection-share.h"
+#include "toucanmux/proxy/connections/idle-timeout.h"
+#include "toucanmux/proxy/placement/outcome-score.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
 namespace toucanmux {
--- a/test/connection-share-test.cc
+++ b/test/connection-share-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE connection_share
-#include "toucanmux/proxy/connection-share.h"
+#include "toucanmux/proxy/connections/connection-share.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "toucanmux/proxy/idle-timeout.h"
+#include "toucanmux/proxy/connections/idle-timeout.h"
 
 using namespace toucanmux;
 using namespace std::chrono_literals;
--- a/test/queue-admission-test.cc
+++ b/test/queue-admission-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE queue_admission
-#include "toucanmux/proxy/queue-admission.h"
+#include "toucanmux/proxy/admission/queue-admission.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
--- a/test/upstream-choice-test.cc
+++ b/test/upstream-choice-test.cc
@@ -1,12 +1,12 @@
 #define BOOST_TEST_MODULE upstream_choice
-#include "toucanmux/proxy/upstream-choice.h"
+#include "toucanmux/proxy/placement/upstream-choice.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cmath>
 #include <random>
 #include <vector>
 
-#include "toucanmux/proxy/outcome-score.h"
+#include "toucanmux/proxy/placement/outcome-score.h"
 
 using namespace toucanmux;
 using namespace std::chrono_literals;
--- a/test/upstream-group-test.cc
+++ b/test/upstream-group-test.cc
@@ -7,6 +7,7 @@
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -79,4 +80,21 @@
   BOOST_TEST((group().leader() == successor.id));
 }
 
+// Guards against statements after the drain bound: the bound counts from the
+// store's acknowledgement, which an instance may learn of seconds later.
+BOOST_AUTO_TEST_CASE(a_drain_is_counted_from_its_change_in_the_store) {
+  auto draining = first.entry();
+  draining.draining = true;
+  draining.sequence = 20;
+  upstream_requirements leader_only{true, 0};
+  auto last_use = state.settings.drain_timeout - std::chrono::seconds(2);
+  group().set_entry(draining, loop.now() - last_use + 1s);
+  BOOST_TEST(group().may_serve(leader_only));
+  // Later heartbeats don't begin the drain anew.
+  draining.sequence = 21;
+  group().set_entry(draining, loop.now());
+  run_for(1100ms);
+  BOOST_TEST(!group().may_serve(leader_only));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
