Decide by configuration and settings whether a deployment is contended

Mechanisms for contention must leave the other deployments as they are. The decision takes the rule set of the settings, the number of teams and the share of a database's connections; it is logged when it changes.

--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -8,6 +8,8 @@
 #include "proxy/erase-deferred.h"
 #include "proxy/signal-pipe.h"
 #include "toucanmux/error.h"
+#include "toucanmux/proxy/connections/connection-share.h"
+#include "toucanmux/proxy/contention-policy.h"
 
 namespace toucanmux {
 
@@ -144,6 +146,7 @@
 void proxy_process::tick() {
   for (auto& [id, group] : state_.groups) group->tick();
   check_leases();
+  update_contention();
   store_.tick();
   leaders_.tick();
   peers_.tick();
@@ -151,6 +154,29 @@
   loop_.arm_in(tick_timer_, tick_interval);
 }
 
+void proxy_process::update_contention() {
+  contention_inputs inputs;
+  inputs.pressure = state_.settings.pressure;
+  inputs.known_instances = peers_.known_count() + 1;
+  inputs.teams = state_.config->teams().size();
+  // Instances that are down return, so they count here.
+  auto instances = static_cast<unsigned>(inputs.known_instances);
+  for (const auto& policy : state_.config->groups()) {
+    auto share = connection_quotient(instances, policy.max_connections);
+    bool smallest =
+        inputs.connection_share == 0 || share < inputs.connection_share;
+    if (smallest) inputs.connection_share = share;
+  }
+  bool contended = is_contended(inputs);
+  if (contended == state_.contended) return;
+  state_.contended = contended;
+  state_.log.write(journal_kind::belief, "contention_changed",
+                   {{"contended", contended},
+                    {"instances", std::uint64_t{inputs.known_instances}},
+                    {"teams", std::uint64_t{inputs.teams}},
+                    {"connections", std::uint64_t{inputs.connection_share}}});
+}
+
 void proxy_process::check_leases() {
   bool leases_held = state_.leader_leases.valid(loop_.now());
   if (leases_held == leases_held_) return;
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -47,6 +47,7 @@
   void handle_signal(int number);
   void reload();
   void tick();
+  void update_contention();
   void check_leases();
   void drain_tick();
   void close_idle_sessions();
--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -29,7 +29,9 @@
                                      ///< fencing tokens.
   std::size_t max_sessions = 2000;   ///< Further callers are disconnected.
   std::uint32_t cpu_millicores = 0;  ///< Thousandths of a CPU core.
-  bool log_enabled = true;       ///< False only to measure the cost of logging.
+  bool log_enabled = true;  ///< False only to measure the cost of logging.
+  /// The deployment asks for the mechanisms of contended deployments.
+  bool pressure = false;
   duration shutdown_timeout{0};  ///< From SIGTERM until the platform kills
                                  ///< the process.
 };
