Replace a domain reader that can't read the store

Cause: an instance that is partitioned from the store kept the confirmations of its peers, so it stayed the reader of its failure domain. Change: `store_contact` tracks the own calls. An instance whose calls fail while others confirm the leader records ranks behind the others as reader, and looks every 3 s whether the store is reachable again.

--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -303,6 +303,15 @@
              (mesh ? store_timeout : store_timeout_behind_hubs);
 }
 
+// Others reach the store, since they confirm the leader records, but this
+// instance does not. It would miss the changes that it reads for its failure
+// domain. While the store is down for all, no other reader is better.
+bool peer_service::cut_off_from_store() const {
+  instant now = state_.loop.now();
+  return state_.contact.lost(now) && state_.leader_leases.confirmed() &&
+         state_.leader_leases.age(now) < store_timeout;
+}
+
 // Strictly increasing, even while the clock does not advance.
 std::uint64_t peer_service::next_stamp() {
   last_stamp_ = std::max(last_stamp_ + 1, stamp_of(boot_time()));
@@ -310,7 +319,7 @@
 }
 
 void peer_service::tick() {
-  peers_.set_lacks_store(lacks_store());
+  peers_.set_lacks_store(lacks_store() || cut_off_from_store());
   update_role();
   update_members();
   choose_probers();
@@ -377,8 +386,8 @@
   out.domain = short_hash(state_.settings.domain.value);
   out.leaving = state_.stopping;
   out.levels_settled = state_.rate_limits.settled(now);
-  out.lacks_store = lacks_store();
-  out.wants_reply = out.lacks_store && !options.is_reply;
+  out.lacks_store = lacks_store() || cut_off_from_store();
+  out.wants_reply = lacks_store() && !options.is_reply;
   out.capacity = state_.settings.cpu_millicores;
   out.known_peers = static_cast<std::uint32_t>(peers_.all().size());
   auto generation = state_.store.current();
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -15,6 +15,7 @@
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/list-confirmation.h"
 #include "toucanmux/proxy/rate-ledger.h"
+#include "toucanmux/proxy/store-contact.h"
 #include "toucanmux/proxy/store-generation.h"
 #include "toucanmux/request/retry-budget.h"
 
@@ -50,6 +51,7 @@
   std::shared_ptr<const fleet_config> config =
       std::make_shared<const fleet_config>();
   store_generation store;
+  store_contact contact;  ///< Of this instance's own calls to the store.
   config_confirmation confirmation;
   list_confirmation upstream_confirmation;
   leader_lease leader_leases;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -52,6 +52,7 @@
 constexpr duration missing_record_check_interval = seconds(3);
 constexpr duration early_check_lead =
     member_check_interval - missing_record_check_interval;
+constexpr duration store_probe_interval = seconds(3);
 // More changes do not fit into a datagram; receivers list the databases
 // instead.
 constexpr std::size_t max_update_changes = 8;
@@ -76,6 +77,7 @@
     auto due_read = config_read_policy_.due_read(now, config_situation());
     if (due_read) read_config(*due_read);
   }
+  probe_store();
   duties_.tick(registered_);
   if (watch_from_ == 0 && !listing_ && now >= next_list_ && list_allowed())
     list_upstreams({});
@@ -93,6 +95,17 @@
   if (check_needed) check_members();
 }
 
+// An instance that lost the store no longer reads it for its failure domain, so
+// it has to find out by itself when the store is reachable again.
+void store_sync::probe_store() {
+  instant now = state_.loop.now();
+  bool due = state_.contact.lost(now) && !peers_.is_domain_reader() &&
+             !reading_config_ && now >= next_store_probe_;
+  if (!due) return;
+  next_store_probe_ = now + store_probe_interval;
+  read_config(read_consistency::stale);
+}
+
 void store_sync::call(http_call request, duration timeout,
                       http_caller::result_handler on_done) {
   call_from(store_caller_, std::move(request), timeout, std::move(on_done));
@@ -180,7 +193,7 @@
       group->watch().note_store_unreachable(state_.loop.now());
     }
   }
-  consecutive_failures_ = reached ? 0 : consecutive_failures_ + 1;
+  state_.contact.record(state_.loop.now(), reached);
   if (reached == store_reached_) return;
   store_reached_ = reached;
   state_.log.write(journal_kind::dependency,
@@ -202,7 +215,8 @@
 void store_sync::read_config(read_consistency consistency) {
   reading_config_ = true;
   // Backs off while the store is unreachable, up to one read in 1.2 s.
-  auto retry_delay = retry_interval * (1 + std::min(consecutive_failures_, 2U));
+  auto failures = std::min(consecutive_failures(), 2U);
+  auto retry_delay = retry_interval * (1 + failures);
   next_config_read_ = state_.loop.now() + retry_delay;
   call(store_api::read_config(consistency), call_timeout,
        [this, consistency](http_result&& result) {
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -31,7 +31,9 @@
   std::uint64_t calls() const { return store_caller_.calls(); }
   /// Notes whether a call reached the store.
   void record_call(bool reached, std::string_view operation);
-  unsigned consecutive_failures() const { return consecutive_failures_; }
+  unsigned consecutive_failures() const {
+    return state_.contact.consecutive_failures();
+  }
   /// The store's generation has become settled: reads of the configuration
   /// confirm it from now on.
   void handle_settled();
@@ -54,6 +56,7 @@
                  http_caller::result_handler on_done);
   void check_generation(std::uint64_t sent_in, http_result& result);
   void discard_older_generation();
+  void probe_store();
   void read_config(read_consistency consistency);
   void handle_config(read_consistency consistency, http_result&& result);
   config_read_policy::situation config_situation() const;
@@ -115,7 +118,7 @@
   instant next_member_call_;
   instant next_member_check_;
   bool store_reached_ = true;
-  unsigned consecutive_failures_ = 0;
+  instant next_store_probe_;
 };
 
 }  // namespace toucanmux
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -195,6 +195,34 @@
   BOOST_TEST(starts_with(caller.request("QUERY 2 PUT 1a4 x"), "ERR BUSY"));
 }
 
+// Guards against a failure domain that learns of no change: its reader is cut
+// off from the store, but gets the confirmations of the other instances.
+BOOST_AUTO_TEST_CASE(a_reader_that_lost_the_store_is_replaced) {
+  run_until([&] { return ready(); });
+  platform_stub second_store(loop);
+  second_store.put("config", "main", config_spec(3, "key-1"));
+  for (auto* database : {&first, &second, &third})
+    write_heartbeat(second_store, *database);
+  run_until([&] { return store.contains("toucanmux-members", "edge-1"); });
+  second_store.put("toucanmux-members", "edge-1",
+                   store.spec("toucanmux-members", "edge-1"));
+  settings.cpu_millicores = 500;  // The larger instance is the reader.
+  auto second_instance = start_second_instance(second_store.address());
+  run_until([&] { return ready(second_instance); });
+  run_for(2500ms);
+  auto watches = store.watches();
+  second_store.silent = true;
+  run_for(5500ms);
+  BOOST_TEST(store.watches() > watches);
+  first.is_primary = false;
+  second.is_primary = true;
+  write_heartbeat(second);
+  write_heartbeat(first);
+  run_for(500ms);
+  auto caller = connect();
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
+}
+
 BOOST_AUTO_TEST_CASE(a_failed_leader_is_replaced_by_the_most_advanced_replica) {
   run_until([&] { return ready(); });
   auto caller = connect();
