Confirm the leader records anew for instances that start

Cause: an instance gets its first lease from a read of the duties that was sent after the instance had registered. After a restart of the fleet the domain reader had read before the others registered and read again 0.8 s later, so 130 of 136 instances held no lease until 1.2 s after their start and refused all statements that need the leader. Ruled out: late hub election (roles were settled 0.2 s after the start) and late database lists (0.2 to 0.4 s). Change: reports show who lacks a lease; the domain reader reads the duties again while a process that started less than 2 s ago waits, at most every 150 ms, and reports at once.

--- a/src/proxy/duty-sync.cc
+++ b/src/proxy/duty-sync.cc
@@ -18,6 +18,8 @@
 // lead to a read of the duties sooner than to one of the configuration.
 constexpr duration max_mesh_age = milliseconds(1300);
 constexpr duration max_member_age = milliseconds(1600);
+// Limits the reads for instances that start.
+constexpr duration min_early_read_age = milliseconds(150);
 constexpr duration retry_interval = milliseconds(400);
 constexpr duration call_timeout = milliseconds(1200);
 // A report of another peer may bring a change of records first.
@@ -44,7 +46,8 @@
   if (!state_.leader_leases.follows(state_.store.current()))
     follows_since_ = now;
   if (!registered) return;
-  if (!reading_ && now >= next_read_ && read_due()) start_read();
+  bool due = (now >= next_read_ && read_due()) || early_read_due();
+  if (!reading_ && due) start_read();
   write_base_if_due();
   note_settled_if_due();
 }
@@ -101,6 +104,15 @@
   return differs || leases.age(now) >= max_age();
 }
 
+// A read from before an instance has registered gives it no lease. After a
+// restart of the fleet that is nearly every instance.
+bool duty_sync::early_read_due() const {
+  const auto& leases = state_.leader_leases;
+  return leases.confirmed() && peers_.is_domain_reader() &&
+         leases.age(state_.loop.now()) >= min_early_read_age &&
+         peers_.new_process_lacks_lease();
+}
+
 void duty_sync::update_leader_difference() {
   if (!peers_.leader_records_differ()) {
     leaders_differ_since_.reset();
@@ -179,7 +191,8 @@
     state_.store.mark_settled(now);
     store_.handle_settled();
   }
-  if (!lease_was_held && peers_.is_domain_reader()) peers_.report_now();
+  bool peers_wait = !lease_was_held || peers_.new_process_lacks_lease();
+  if (peers_wait && peers_.is_domain_reader()) peers_.report_now();
 }
 
 // A group's own object is newer than its entry in the base.
--- a/src/proxy/duty-sync.h
+++ b/src/proxy/duty-sync.h
@@ -34,6 +34,7 @@
   using duty_map = std::map<group_id, duty_read>;
 
   bool read_due() const;
+  bool early_read_due() const;
   duration max_age() const;
   void update_leader_difference();
   void start_read();
--- a/src/proxy/peer-directory.cc
+++ b/src/proxy/peer-directory.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "toucanmux/hash.h"
+#include "toucanmux/proxy/leader-lease.h"
 
 namespace toucanmux {
 
@@ -24,6 +25,9 @@
 constexpr duration reader_timeout = milliseconds(1500);
 constexpr duration record_removal_timeout = seconds(60);
 constexpr duration leaving_timeout = seconds(1);
+// Time in which a process that starts gets its first lease. A process that
+// can't get one must not cause reads of the store for longer.
+constexpr duration start_time = seconds(2);
 
 }  // namespace
 
@@ -61,6 +65,7 @@
   }
   bool restarted = entry.incarnation != incarnation;
   if (!restarted && report.stamp <= entry.last_stamp) return {};
+  if (restarted) entry.process_since = now;
   entry.incarnation = incarnation;
   entry.record.address = address;
   entry.last_stamp = report.stamp;
@@ -82,6 +87,8 @@
   entry.config_version = report.config_version;
   entry.leader_generation = report.leader_generation;
   entry.leader_digest = report.leader_digest;
+  entry.lacks_lease =
+      std::chrono::milliseconds(report.leader_age_ms) >= leader_lease::length;
   entry.knowers_hash = report.knowers_hash;
   apply_gone_members(entry, report);
   return {&entry, inserted || restarted, complete};
@@ -154,6 +161,14 @@
   });
 }
 
+bool peer_directory::new_process_lacks_lease(instant now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& p) {
+    const peer& entry = p.second;
+    return is_near(entry) && is_heard(now, entry) && entry.lacks_lease &&
+           now - entry.process_since < start_time;
+  });
+}
+
 std::vector<domain_id> peer_directory::other_domains() const {
   std::set<domain_id> found;
   for (const auto& [id, entry] : peers_) {
--- a/src/proxy/peer-directory.h
+++ b/src/proxy/peer-directory.h
@@ -15,8 +15,9 @@
 struct peer {
   store_api::member_record record;
   std::uint64_t incarnation = 0;
-  instant known_since;  ///< When its record was first known here.
-  instant heard_at;     ///< When its last report arrived.
+  instant known_since;    ///< When its record was first known here.
+  instant heard_at;       ///< When its last report arrived.
+  instant process_since;  ///< When its process was first heard.
   bool ever_heard = false;
   bool leaving = false;
   bool lacks_store = false;
@@ -36,6 +37,7 @@
   std::uint64_t leader_generation = 0;  ///< Of the leader records it has.
   /// Digest of the leader records that it has.
   std::uint64_t leader_digest = 0;
+  bool lacks_lease = false;        ///< It holds no lease on the leaders yet.
   std::uint64_t knowers_hash = 0;  ///< See `peer_report`; set by hubs.
 };
 
@@ -99,6 +101,9 @@
     return other.record.domain == domain_;
   }
   bool is_alive(instant now, const peer& other) const;
+  /// Whether an instance of this failure domain has started and waits for its
+  /// first lease on the leaders.
+  bool new_process_lacks_lease(instant now) const;
   /// All instances that are considered alive, this one included; sorted.
   std::vector<member_id> members(instant now) const;
   /// A hub knows more instances than this one.
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -85,6 +85,11 @@
   /// This instance's place in the order in which it and others try a task.
   std::size_t own_turn(std::string_view task,
                        std::vector<member_id> others) const;
+  /// Whether an instance of this failure domain has started and waits for its
+  /// first lease on the leaders.
+  bool new_process_lacks_lease() const {
+    return peers_.new_process_lacks_lease(state_.loop.now());
+  }
   /// The domain reader has other leader records than this instance.
   bool leader_records_differ() const;
   /// Whether this member is one of `active_peers()`.
--- a/test/peer-directory-test.cc
+++ b/test/peer-directory-test.cc
@@ -104,6 +104,28 @@
   BOOST_TEST(proxies.directory.domain_reader(proxies.now) != nullptr);
 }
 
+// Guards against instances without a lease for 0.8 s after a restart, and
+// against endless reads for one that can't get a lease.
+BOOST_AUTO_TEST_CASE(a_starting_instance_waits_for_its_lease) {
+  fleet proxies(3);
+  peer_report report;
+  report.domain = short_hash(north.value);
+  report.stamp = 1;
+  report.leader_age_ms = 1'000'000;
+  auto receive = [&] {
+    ++report.stamp;
+    proxies.directory.apply_report(proxies.now, member_id("n1"), 1, {}, 0,
+                                   report);
+    return proxies.directory.new_process_lacks_lease(proxies.now);
+  };
+  BOOST_TEST(receive());
+  report.leader_age_ms = 300;
+  BOOST_TEST(!receive());
+  report.leader_age_ms = 1'000'000;
+  proxies.now += 3s;
+  BOOST_TEST(!receive());
+}
+
 BOOST_AUTO_TEST_CASE(hubs_report_gone_members) {
   fleet proxies(40);
   proxies.receive_report("n1", north, scope::fleet, 500);
