Take the ages of positions and confirmations at the current time

Cause: ages sent to peers were computed from the beginning of the turn, while the peer's stamp that they count back from may have been received later in the turn. After a long turn, or when the process was suspended in one, the receiver took a leader's position, a lease or a configuration for newer than it was. A read could thereby require a position without commits that were acknowledged longer ago than the allowed age. The required position itself was counted from the beginning of the turn as well.

Change: these ages, the required position, the validity of leases and keys at a statement and the arrival of an answer that waits for a confirmation use the current time. Timers and the detection of silence keep the beginning of the turn, since input of a late turn has not been read yet.

Result: the three cases of late-turn-test failed before the change (four checks) and pass. client-session-test, upstream-group-test, peer-directory-test and proxy-process-test pass.

--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -31,7 +31,7 @@
 bool client_session::key_is_valid() {
   if (!key_required_) return true;
   return state_.config->find_team_by_key(key_) != nullptr &&
-         state_.confirmation.valid(state_.loop.now());
+         state_.confirmation.valid(boot_time());
 }
 
 void client_session::start_statement(const session_statement& statement) {
@@ -81,11 +81,13 @@
 
 // The position that a database must have reached to serve the read: it covers
 // the commits acknowledged longer ago than the route's maximum age and, on a
-// session route, the session's own commits.
+// session route, the session's own commits. The age counts
+// back from the current time, because commits may have been acknowledged since
+// the turn began.
 std::optional<log_position> client_session::required_position() {
   upstream_group* group = state_.find_group(route_.group);
   group->request_samples();
-  auto required = group->samples().required(state_.loop.now(), route_.max_age);
+  auto required = group->samples().required(boot_time(), route_.max_age);
   if (!required) return {};
   auto own_commit = own_commits_.find(route_.group);
   bool has_own_commit =
@@ -219,10 +221,10 @@
 
 // The statement was executed, but possibly by a former leader. The answer is
 // held until a confirmation of the leaders' records shows whether the database
-// still led when it answered.
+// still led when it answered. The answer may have arrived after the turn began.
 void client_session::defer_answer(const upstream_link& link,
                                   const link_answer& answer) {
-  statement_.deferred.emplace(answer, link.upstream(), state_.loop.now());
+  statement_.deferred.emplace(answer, link.upstream(), boot_time());
   log_attempt(
       "executed, but leadership is not confirmed; waiting for confirmation");
   check_deferred();
--- a/src/proxy/event-loop.h
+++ b/src/proxy/event-loop.h
@@ -66,7 +66,10 @@
   event_loop& operator=(const event_loop&) = delete;
   event_loop& operator=(event_loop&&) = delete;
 
-  /// The time at which this turn began, by the clock of `boot_time`.
+  /// The time at which this turn began, by the clock of `boot_time`. It may be
+  /// earlier than the moment at which input that is handled in this turn was
+  /// sent: a turn can take long, and the process can be suspended in it. Use
+  /// `boot_time` where a state must be known to be younger than some age.
   instant now() const { return now_; }
   /// Runs turns until `stop` is called.
   void run();
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -370,8 +370,11 @@
   state_.rate_limits.mark_reported();
 }
 
+// The receiver counts the ages back from its own stamp that is echoed with the
+// report. That stamp may have been received after the turn began, so the ages
+// are taken at the current time.
 peer_report peer_service::make_report(const report_options& options) const {
-  instant now = state_.loop.now();
+  instant now = boot_time();
   peer_report out;
   out.sender_scope = options.sender_scope;
   out.domain = short_hash(state_.settings.domain.value);
@@ -592,11 +595,12 @@
   }
 }
 
+// The age is taken at the current time, as in make_report().
 std::optional<group_position> peer_service::position_of(
     upstream_group& group) const {
   auto newest = group.samples().newest();
   if (!newest) return {};
-  auto age = std::chrono::ceil<milliseconds>(state_.loop.now() -
+  auto age = std::chrono::ceil<milliseconds>(boot_time() -
                                              group.samples().newest_sent_at());
   if (age > position_samples::retention) return {};
   return group_position{group.hash(), *newest,
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -232,7 +232,7 @@
 }
 
 bool upstream_group::leads(std::size_t index) const {
-  return leases_.valid(loop_.now()) && leader_index() == index;
+  return leases_.valid(boot_time()) && leader_index() == index;
 }
 
 // The known leader record was active when it was last confirmed.
