Count each log line that standard output did not accept

Cause: when the buffer of the log overflowed, all buffered lines but the first were discarded and counted as one, and the metric dropped_log_lines left them out.

--- a/src/proxy/journal.cc
+++ b/src/proxy/journal.cc
@@ -14,6 +14,7 @@
 #include <ctime>
 
 #include "proxy/event-loop.h"
+#include "proxy/line-buffer.h"
 
 namespace toucanmux {
 
@@ -34,11 +35,12 @@
                                                  {"refusal", 20, 60},
                                                  {"served", 0.5, 2}}};
 
-// How often buffered lines were discarded since standard output did not accept
-// them.
-std::uint64_t& sink_overflows() {
-  static std::uint64_t count = 0;
-  return count;
+constexpr std::size_t max_pending_bytes = 65'536;
+
+// Lines that standard output has not accepted yet.
+line_buffer& output_lines() {
+  static line_buffer buffer(max_pending_bytes);
+  return buffer;
 }
 
 /// Writes lines to standard output without blocking. Output that isn't accepted
@@ -47,20 +49,19 @@
                       char, logging::sinks::concurrent_feeding> {
  public:
   void consume(const logging::record_view&, const string_type& line) {
-    pending_ += line;
-    pending_ += '\n';
-    auto count = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
-    if (count > 0) pending_.erase(0, static_cast<std::size_t>(count));
-    if (pending_.size() <= max_pending_bytes) return;
-    // Keeps the line that may be partly written, so that the next one starts on
-    // a new line.
-    pending_.resize(pending_.find('\n') + 1);
-    ++sink_overflows();
+    line_buffer& lines = output_lines();
+    // Room is made first, so that the line is not dropped needlessly.
+    if (!lines.pending().empty()) write_pending(lines);
+    lines.append(line);
+    write_pending(lines);
   }
 
  private:
-  static constexpr std::size_t max_pending_bytes = 65'536;
-  std::string pending_;
+  static void write_pending(line_buffer& lines) {
+    auto bytes = lines.pending();
+    auto count = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+    if (count > 0) lines.consume(static_cast<std::size_t>(count));
+  }
 };
 
 void start_sink() {
@@ -128,6 +129,10 @@
   start_sink();
 }
 
+std::uint64_t journal::dropped() const {
+  return dropped_ + output_lines().dropped();
+}
+
 bool journal::would_write(journal_kind kind) {
   if (!enabled_) return false;
   auto index = static_cast<std::size_t>(kind);
@@ -167,7 +172,7 @@
     line += ':';
     append_value(line, field);
   }
-  std::uint64_t dropped_lines = dropped_ + sink_overflows();
+  std::uint64_t dropped_lines = dropped();
   if (dropped_lines != reported_drops_) {
     line += ",\"dropped_lines\":" + std::to_string(dropped_lines);
     reported_drops_ = dropped_lines;
--- a/src/proxy/journal.h
+++ b/src/proxy/journal.h
@@ -53,9 +53,9 @@
   /// True if the rate limit allows a line of this kind now, so that the caller
   /// needn't gather the fields of a line that would be dropped.
   bool would_write(journal_kind kind);
-  /// Lines dropped by the rate limits since the start; all lines if the log is
-  /// disabled.
-  std::uint64_t dropped() const { return dropped_; }
+  /// Lines dropped since the start, by the rate limits or because standard
+  /// output did not accept them; all lines if the log is disabled.
+  std::uint64_t dropped() const;
 
  private:
   struct line_budget {
