Let tokens count as unchecked by default in the settings as in their reader

Cause: proxy_settings::tokens_checked was true by default, while the reader set it to false without fence_check.

Change: both are false, the careful choice: a failover service that checks tokens says so.

Result: proxy-settings-test passes with the new case. It was not run against the former default.

--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -25,7 +25,7 @@
                                      ///< statement with the key runs.
   duration drain_timeout{0};         ///< A draining database gets no statements
                                      ///< after this.
-  bool tokens_checked = true;        ///< The failover service rejects stale
+  bool tokens_checked = false;       ///< The failover service rejects stale
                                      ///< fencing tokens.
   std::size_t max_sessions = 2000;   ///< Further callers are disconnected.
   std::uint32_t cpu_millicores = 0;  ///< Thousandths of a CPU core.
--- a/test/proxy-settings-test.cc
+++ b/test/proxy-settings-test.cc
@@ -79,6 +79,18 @@
   BOOST_TEST(settings.cpu_millicores == 1000U);
 }
 
+// Guards against a failover service that is trusted to reject stale tokens
+// without having said so.
+BOOST_AUTO_TEST_CASE(tokens_count_as_unchecked_unless_the_settings_say_so) {
+  temporary_file file(valid_settings);
+  BOOST_TEST(!read_proxy_settings(file.path()).tokens_checked);
+  BOOST_TEST(!proxy_settings().tokens_checked);
+  auto text = valid_settings;
+  text.replace(text.find("revoke_ms"), 0, "fence_check = true\n");
+  std::ofstream(file.path()) << text;
+  BOOST_TEST(read_proxy_settings(file.path()).tokens_checked);
+}
+
 BOOST_AUTO_TEST_CASE(the_cpu_quota_is_read_in_thousandths_of_a_core) {
   temporary_file file(valid_settings + "[limits]\ncpu_quota = 0.084\n");
   BOOST_TEST(read_proxy_settings(file.path()).cpu_millicores == 84U);
