--- a/include/toucanmux/request/session-token.h
+++ b/include/toucanmux/request/session-token.h
@@ -9,7 +9,7 @@
 namespace toucanmux {
 
 /// The log position of the session's last write in one database group.
-struct group_position {
+struct token_position {
   group_id group;
   log_position position;
 
@@ -47,7 +47,7 @@
   void merge(const session_token& other);
 
   /// Ordered by group.
-  std::span<const group_position> positions() const { return positions_; }
+  std::span<const token_position> positions() const { return positions_; }
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -55,7 +55,7 @@
   }
 
  private:
-  std::vector<group_position> positions_;
+  std::vector<token_position> positions_;
 };
 
 }  // namespace toucanmux
--- a/src/request/session-token.cc
+++ b/src/request/session-token.cc
@@ -12,7 +12,7 @@
 template <class Positions>
 auto find_position(Positions& positions, const group_id& group) {
   return std::lower_bound(positions.begin(), positions.end(), group,
-                          [](const group_position& p, const group_id& g) {
+                          [](const token_position& p, const group_id& g) {
                             return p.group.value < g.value;
                           });
 }
