Take back the change to reserved shares

Cause: the shares reserved for silent peers came from the least demand known before a partition, whose sum exceeds the limit for small counts.

--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <span>
 #include <unordered_map>
@@ -123,11 +122,9 @@
     std::uint64_t incarnation = 0;
     std::uint32_t admitted = 0;
     std::uint32_t wanted = 0;
-    /// Admitted operations a second in the last interval; of a late peer, at
-    /// least the mean.
+    /// Operations a second in the last interval.
     double admit_rate = 0;
-    double mean_admit_rate = 0;  ///< The same, smoothed.
-    /// Wanted operations a second, smoothed.
+    /// Operations a second, smoothed.
     double demand = 0;
     /// Share reserved while the peer is silent.
     double reserved_share = 0;
@@ -135,10 +132,8 @@
     bool silent = false;
     /// Share that the peer reserves for silent peers of its own.
     double kept_share = 0;
-    /// Usage since the last counters that was expected and subtracted from the
-    /// level, up to `accrued_at`.
-    double expected = 0;
-    instant accrued_at;
+    /// Time of the last counters.
+    instant reported_at;
     /// Start of the interval of the two counters below.
     instant interval_start;
     double interval_admitted = 0;
@@ -147,7 +142,6 @@
     /// Resets the counters for a new process of the peer.
     void restart(instant now, std::uint64_t new_incarnation);
     void start_interval(instant now);
-    void accrue_expected(instant now);
     /// Updates the rates from the interval, if it is long enough, and starts
     /// the next one.
     void update_rates(instant now);
@@ -169,17 +163,8 @@
     bool reports_totals = false;
     bool ever_heard = false;
     bool silent = true;
-    bool late = false;  ///< Its mean rates are expected at least.
     std::map<std::uint32_t, peer_team_state> uses;
   };
-  /// A team's demand as it was known at one time.
-  struct demand_point {
-    instant at;
-    /// Of this instance and of the peers that were not silent.
-    double total = 0;
-    /// Share reserved for silent peers.
-    double reserved_share = 0;
-  };
   struct team_state {
     std::uint32_t key = 0;
     double rate = 0;
@@ -213,8 +198,6 @@
     double expected_rate = 0;
     /// Share reserved for silent near peers.
     double near_kept = 0;
-    /// Oldest first; covers the time in which a peer can become silent.
-    std::deque<demand_point> demand_history;
   };
 
   team_state* find(std::uint32_t team);
@@ -233,12 +216,8 @@
   static double unreported_allowance(const team_state& team);
   static bool near_limit(const team_state& team);
   static bool reportable(const team_state& team, scope counted);
-  demand_point refresh_shares(team_state& team, double instances);
-  void mark_late_peers(instant now);
+  void refresh_shares(team_state& team, double instances);
   void mark_silent_peers(instant now);
-  void record_demand(const demand_point& point, team_state& team) const;
-  demand_point demand_now(const team_state& team) const;
-  demand_point demand_known_at(const team_state& team, instant at) const;
   void reserve_share(peer_state& silent_peer) const;
   void advance(instant now, team_state& team) const;
 
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -39,19 +39,6 @@
 // team whose level drops that far is near its limit.
 constexpr double max_unreported_part = 0.1;
 
-// Minimum time between two points of a team's history of demand.
-constexpr duration demand_point_spacing = std::chrono::milliseconds(200);
-// Time that a point is kept longer than a peer takes to become silent.
-constexpr duration demand_point_reserve = std::chrono::seconds(1);
-// Reports between failure domains come each 0.4 s while a team is near its
-// limit, and the last one before a partition may be lost.
-constexpr duration demand_report_delay = std::chrono::milliseconds(800);
-// A peer that was not heard for this long is expected to use its mean rate at
-// least. With the time between two refreshes this takes effect about when the
-// next report from another failure domain is due; 450 ms left too much to both
-// sides.
-constexpr duration late_report_time = std::chrono::milliseconds(300);
-
 double seconds(duration value) {
   return std::chrono::duration<double>(value).count();
 }
@@ -120,7 +107,6 @@
   bool counted = from.ever_heard && !from.silent;
   from.incarnation = incarnation;
   from.heard_at = now;
-  from.late = false;
   from.ever_heard = true;
   from.silent = false;
   heard_settled_ = heard_settled_ || settled;
@@ -153,8 +139,7 @@
   // Usage of the team while the peer was silent comes from its reserved share.
   bool reserved = std::exchange(peer_team.silent, false);
   // The expected usage was already subtracted as time passed.
-  peer_team.accrue_expected(now);
-  double expected = std::exchange(peer_team.expected, 0);
+  double expected = peer_team.admit_rate * seconds(now - peer_team.reported_at);
   if (is_first_report || reserved) expected = 0;
   double rate_before =
       from.ever_heard && !from.silent ? peer_team.admit_rate : 0;
@@ -173,6 +158,7 @@
   }
   peer_team.admitted = use.admitted;
   peer_team.wanted = use.wanted;
+  peer_team.reported_at = now;
   peer_team.kept_share = use.kept_percent / 100.0;
   if (!team) return;
   advance(now, *team);
@@ -192,13 +178,7 @@
                                            std::uint64_t new_incarnation) {
   incarnation = new_incarnation;
   admitted = wanted = 0;
-  expected = 0;
-  accrued_at = interval_start = now;
-}
-
-void rate_ledger::peer_team_state::accrue_expected(instant now) {
-  expected += admit_rate * seconds(now - accrued_at);
-  accrued_at = now;
+  reported_at = interval_start = now;
 }
 
 void rate_ledger::peer_team_state::start_interval(instant now) {
@@ -210,7 +190,6 @@
   if (now - interval_start < min_rate_interval) return;
   double passed = seconds(now - interval_start);
   admit_rate = interval_admitted / passed;
-  mean_admit_rate += demand_weight * (admit_rate - mean_admit_rate);
   demand += demand_weight * (interval_wanted / passed - demand);
   start_interval(now);
 }
@@ -395,36 +374,12 @@
       entry.wanted_before = entry.wanted;
     }
   }
-  mark_late_peers(now);
   mark_silent_peers(now);
   double instances = fleet_size();
-  for (auto& [team, entry] : teams_) {
-    auto point = refresh_shares(entry, instances);
-    point.at = now;
-    record_demand(point, entry);
-  }
+  for (auto& [team, entry] : teams_) refresh_shares(entry, instances);
   refreshed_at_ = now;
 }
 
-// While a team is over its rate, the usage of single intervals swings between
-// none and several times the peer's part. A partition would fix the last one as
-// the expected rate until the peer counts as silent, on both sides, and each
-// side could use most of the limit.
-void rate_ledger::mark_late_peers(instant now) {
-  for (auto& [id, entry] : peers_) {
-    // Sums of many instances are more even, and a mean lags behind a surge.
-    bool is_single = entry.instance_count <= 1;
-    bool is_late = now - entry.heard_at > late_report_time;
-    if (!is_single || entry.silent || entry.late || !is_late) continue;
-    entry.late = true;
-    for (auto& [team, use] : entry.uses) {
-      if (use.silent) continue;
-      use.accrue_expected(now);
-      use.admit_rate = std::max(use.admit_rate, use.mean_admit_rate);
-    }
-  }
-}
-
 void rate_ledger::mark_silent_peers(instant now) {
   std::erase_if(peers_, [&](const auto& item) {
     return item.second.ever_heard &&
@@ -443,75 +398,35 @@
   }
 }
 
-// The share that the peer had while all were heard is reserved, because it
-// continues to use it on its side of a partition. Both sides must derive the
-// same shares, so each counts the demand as it was known before the partition:
-// a side that counted its own later demand would take a larger share than the
-// other side reserves for it.
+// Reserves the share that the peer had while all were heard, because it
+// continues to use it on its side of a partition.
 void rate_ledger::reserve_share(peer_state& silent_peer) const {
   for (const auto& [team, entry] : teams_) {
-    auto before = demand_known_at(entry, silent_peer.heard_at);
-    double available = 1 - demand_now(entry).reserved_share;
+    double total = entry.demand + min_demand;
+    double reserved = 0;
+    for (const auto& [id, peer] : peers_) {
+      auto use = peer.uses.find(entry.key);
+      bool known = use != peer.uses.end();
+      if (peer.silent || (known && use->second.silent)) {
+        reserved += known ? use->second.reserved_share : 0;
+        continue;
+      }
+      total += min_demand * peer.instance_count;
+      if (use != peer.uses.end()) total += use->second.demand;
+    }
     peer_team_state& silent_use = silent_peer.uses[entry.key];
     double wanted = silent_use.demand + min_demand * silent_peer.instance_count;
-    double share = (1 - before.reserved_share) * wanted /
-                   std::max(before.total, wanted + min_demand);
-    silent_use.reserved_share =
-        std::clamp(share, 0.0, std::max(available, 0.0));
-  }
-}
-
-rate_ledger::demand_point rate_ledger::demand_now(
-    const team_state& entry) const {
-  demand_point out;
-  out.total = entry.demand + min_demand;
-  for (const auto& [id, peer] : peers_) {
-    auto use = peer.uses.find(entry.key);
-    bool known = use != peer.uses.end();
-    if (peer.silent || (known && use->second.silent)) {
-      out.reserved_share += known ? use->second.reserved_share : 0;
-      continue;
-    }
-    out.total += min_demand * peer.instance_count;
-    if (known) out.total += use->second.demand;
-  }
-  return out;
-}
-
-// Peers know the demand from the last report, so the least of the points since
-// that report is used, which reserves the most.
-rate_ledger::demand_point rate_ledger::demand_known_at(const team_state& entry,
-                                                       instant at) const {
-  const demand_point* least = nullptr;
-  for (const auto& point : entry.demand_history) {
-    if (point.at > at) break;
-    bool is_outdated = least && least->at < at - demand_report_delay;
-    if (!least || is_outdated || point.total < least->total) least = &point;
+    silent_use.reserved_share = std::max(0.0, 1 - reserved) * wanted / total;
   }
-  return least ? *least : demand_now(entry);
-}
-
-void rate_ledger::record_demand(const demand_point& point,
-                                team_state& entry) const {
-  auto& history = entry.demand_history;
-  if (!history.empty() && point.at - history.back().at < demand_point_spacing)
-    return;
-  history.push_back(point);
-  auto kept = settings_.peer_timeout + demand_point_reserve;
-  while (point.at - history.front().at > kept) history.pop_front();
 }
 
-rate_ledger::demand_point rate_ledger::refresh_shares(team_state& entry,
-                                                      double instances) {
-  demand_point out;
-  out.total = entry.demand + min_demand;
+void rate_ledger::refresh_shares(team_state& entry, double instances) {
   entry.expected_rate = 0;
   entry.near_kept = 0;
   double far_kept = 0;
   double total_demand = entry.demand + min_demand;
   for (const auto& [id, peer] : peers_) {
     total_demand += min_demand * peer.instance_count;
-    if (!peer.silent) out.total += min_demand * peer.instance_count;
     double& kept_share = peer.same_domain ? entry.near_kept : far_kept;
     if (!peer.ever_heard) {
       kept_share += peer.instance_count / instances;
@@ -520,19 +435,13 @@
     auto use = peer.uses.find(entry.key);
     if (use == peer.uses.end()) continue;
     total_demand += use->second.demand;
-    if (use->second.silent) {
-      kept_share += use->second.reserved_share;
-      out.reserved_share += use->second.reserved_share;
-      continue;
-    }
-    out.total += use->second.demand;
-    kept_share += use->second.kept_share;
-    entry.expected_rate += use->second.admit_rate;
+    kept_share += use->second.silent ? use->second.reserved_share
+                                     : use->second.kept_share;
+    if (!use->second.silent) entry.expected_rate += use->second.admit_rate;
   }
   entry.available_share = std::max(1 - entry.near_kept - far_kept, 0.0);
   entry.demand_share = std::max((entry.demand + min_demand) / total_demand,
                                 min_even_share / instances);
-  return out;
 }
 
 void rate_ledger::advance(instant now, team_state& entry) const {
