Admit and order statements by urgency, team and deadline when contended

Cause: in contended deployments the queue was ordered by priority alone, statements were admitted by a fixed share of the latency objective, and a late statement could take a connection that a more urgent one waited for.

Change: the queue moves from upstream_group into wait_queue. fair_order sorts it by priority, start-time fair queueing of the teams and deadline. finish_estimate admits statements; waiting ones are checked every 200 ms and when a leader or database is lost. retry_schedule and retry_time set the retry times. Refusals have an enumeration of reasons and are counted in toucanmux_refusals_total in all deployments. Internal retries of reads stop while a database's refusals increase.

--- a/include/toucanmux/proxy/upstream-entry.h
+++ b/include/toucanmux/proxy/upstream-entry.h
@@ -21,12 +21,15 @@
   std::uint64_t sequence = 0;  ///< Incremented by each heartbeat.
   std::uint64_t born_ms = 0;   ///< Start of the database process, Unix time.
   store_version version;       ///< Of the entry's last change.
+  /// Statements that the database runs at the same time; 0 if unknown.
+  std::uint32_t slots = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(id), CEREAL_NVP(group), CEREAL_NVP(address),
             CEREAL_NVP(domain), CEREAL_NVP(draining), CEREAL_NVP(claims_lead),
-            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version));
+            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version),
+            CEREAL_NVP(slots));
   }
 };
 
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -54,12 +54,12 @@
   running_ = true;
   requirements = {};
   if (!key_is_valid()) {
-    return fail_statement(failure_kind::busy, "the key is not valid any more");
+    return fail_statement(failure_kind::busy, refusal_reason::key_withdrawn);
   }
   // Commits are checked too: another leader may have been named since the
   // begin.
   if (!reads_only() && link_ && !leads(*link_)) {
-    return fail_statement(failure_kind::busy, "the leader changes",
+    return fail_statement(failure_kind::busy, refusal_reason::leader_changes,
                           leader_change_retry_after);
   }
   try_upstream();
@@ -101,24 +101,27 @@
 
 void client_session::try_upstream() {
   upstream_group* group = state_.find_group(route_.group);
-  if (!group) return fail_statement(failure_kind::busy, "no such group here");
+  if (!group)
+    return fail_statement(failure_kind::busy, refusal_reason::no_group);
   if (link_) return send(*link_);
   requirements.leader_only = needs_leader() || !required_position();
   team = operation_team_;
   priority = route_.priority;
   waiting_since = statement_.arrived_at;
+  deadline = statement_.deadline;
   if (!group->may_serve(requirements)) {
-    return fail_statement(failure_kind::busy, "no database can serve this now",
+    return fail_statement(failure_kind::busy, refusal_reason::no_database,
                           leader_change_retry_after);
   }
   if (upstream_link* free_link = group->try_acquire(*this))
     return on_link(*free_link);
+  if (state_.contended) return wait_for_link(*group);
   admission_request request{statement_.arrived_at, statement_.deadline,
                             route_.latency_goal, statement_.attempts > 0};
   auto decision = queue_admission().decide(state_.loop.now(), request,
                                            group->queue_for(requirements));
   if (!decision.admitted) {
-    return fail_statement(failure_kind::busy, "the line is too long",
+    return fail_statement(failure_kind::busy, refusal_reason::queue_too_long,
                           decision.retry_after);
   }
   group->enqueue(*this);
@@ -129,10 +132,10 @@
   link_ = &link;
   link.set_user(this);
   if (!key_is_valid()) {
-    return fail_statement(failure_kind::busy, "the key is not valid any more");
+    return fail_statement(failure_kind::busy, refusal_reason::key_withdrawn);
   }
   if (requirements.leader_only && !leads(link)) {
-    return retry_or_refuse("the leader changes");
+    return retry_or_refuse(refusal_reason::leader_changes);
   }
   send(link);
 }
@@ -193,7 +196,7 @@
   // Statements of the transaction see what was committed before its begin was
   // answered, so the database must still lead now.
   if (answer.purpose == link_purpose::begin && !leads(link)) {
-    return retry_or_refuse("the leader changes");
+    return retry_or_refuse(refusal_reason::leader_changes);
   }
   link.send_statement(statement_.id, {}, statement_.text_after_begin);
   if (transaction_phase_ == phase::none) link.send_rollback();
@@ -240,7 +243,7 @@
   }
   if (still_led == false || deadline_reached()) {
     return fail_statement(failure_kind::outcome_unknown,
-                          "another leader was named meanwhile");
+                          refusal_reason::leader_replaced);
   }
   auto next_check = state_.loop.now() + deferred_check_interval;
   state_.loop.arm(timer_,
@@ -286,20 +289,23 @@
     case failure_kind::lagging:
       if (group) group->record_lag(link.upstream());
       requirements.excluded |= upstream_bit;
-      return retry_or_refuse("no log is far enough");
+      return retry_or_refuse(refusal_reason::lagging);
     case failure_kind::busy:
+      if (group) group->record_refusal(link.upstream());
       if (requirements.leader_only) {
-        return fail_statement(kind, "the leader is busy", overload_retry_after);
+        return fail_statement(kind, refusal_reason::leader_busy,
+                              overload_retry_after);
       }
       if (group) group->record_failure(link.upstream());
       requirements.excluded |= upstream_bit;
-      return retry_or_refuse("the databases are busy");
+      if (state_.contended) return retry_refused_read();
+      return retry_or_refuse(refusal_reason::databases_busy);
     case failure_kind::not_leader:
       if (group) group->record_not_leader(link.upstream());
-      return retry_or_refuse("the leader changes");
+      return retry_or_refuse(refusal_reason::leader_changes);
     case failure_kind::unknown_prepared:
       link.forget_prepared();
-      return retry_or_refuse("the statement was not prepared");
+      return retry_or_refuse(refusal_reason::not_prepared);
     default:
       return handle_execution_error(link, kind);
   }
@@ -313,20 +319,19 @@
   if (group) group->record_failure(link.upstream());
   bool may_retry = group && may_rerun() && !requirements.leader_only &&
                    statement_.attempts < max_attempts && !deadline_reached() &&
-                   state_.read_retries.may_retry(state_.loop.now());
-  if (!may_retry)
-    return fail_statement(kind, "the database answered with an error");
+                   may_retry_read();
+  if (!may_retry) return fail_statement(kind, refusal_reason::database_error);
   state_.read_retries.count_retry(state_.loop.now());
-  retry_elsewhere(link, "the database answered with an error");
+  retry_elsewhere(link, text_of(refusal_reason::database_error));
 }
 
 // Retries a statement that was not executed, or refuses it.
-void client_session::retry_or_refuse(std::string_view reason) {
+void client_session::retry_or_refuse(refusal_reason reason) {
   bool may_retry = statement_.first_in_transaction &&
                    statement_.attempts < max_attempts && !deadline_reached();
   if (!may_retry)
     return fail_statement(failure_kind::busy, reason, overload_retry_after);
-  if (link_) log_attempt(reason);
+  if (link_) log_attempt(text_of(reason));
   statement_.sent = false;
   release_link();
   try_upstream();
@@ -341,20 +346,20 @@
   bool is_commit = statement_.verb == statement_verb::commit;
   if (is_commit || (statement_.writes && transaction_phase_ == phase::none)) {
     return fail_statement(failure_kind::outcome_unknown,
-                          "the database's connection was lost");
+                          refusal_reason::connection_lost);
   }
   if (!statement_.first_in_transaction) {
     return fail_statement(failure_kind::aborted,
-                          "the database's connection was lost");
+                          refusal_reason::connection_lost);
   }
   // A statement that requires the leader is retried there over another
   // connection.
   if (!requirements.leader_only) requirements.excluded |= upstream_bit;
-  retry_or_refuse("the database's connection was lost");
+  retry_or_refuse(refusal_reason::connection_lost);
 }
 
 void client_session::record_lost_link(const upstream_link& link) {
-  log_attempt("the database's connection was lost");
+  log_attempt(text_of(refusal_reason::connection_lost));
   auto* group = state_.find_group(route_.group);
   if (group) group->record_failure(link.upstream());
 }
@@ -413,7 +418,7 @@
   if (statement_.sent && retry_possible && link_) {
     statement_.early_timeout = false;
     state_.loop.arm(timer_, statement_.deadline);
-    if (!state_.read_retries.may_retry(state_.loop.now())) return;
+    if (!may_retry_read()) return;
     state_.read_retries.count_retry(state_.loop.now());
     if (auto* group = state_.find_group(route_.group)) {
       group->record_failure(link_->upstream());
@@ -421,7 +426,9 @@
     return retry_elsewhere(*link_, "no answer within the usual response time");
   }
   if (!statement_.sent) {
-    return fail_statement(failure_kind::busy, "no connection was free in time",
+    if (is_linked() && state_.contended && !deadline_reached())
+      return check_wait();
+    return fail_statement(failure_kind::busy, refusal_reason::no_connection,
                           overload_retry_after);
   }
   // An answer that arrives later must not be passed on.
@@ -435,14 +442,16 @@
       is_commit || (statement_.writes && transaction_phase_ == phase::none);
   auto kind =
       may_commit ? failure_kind::outcome_unknown : failure_kind::timed_out;
-  fail_statement(kind, "no answer within the route's time limit");
+  fail_statement(kind, refusal_reason::no_answer);
 }
 
 // Ends the running statement with an error. Releasing the link rolls back an
 // open transaction, which the answer to the caller reports.
-void client_session::fail_statement(failure_kind kind, std::string_view reason,
+void client_session::fail_statement(failure_kind kind, refusal_reason reason,
                                     duration retry_after) {
   if (is_linked()) unlink();
+  if (state_.contended && retry_after > duration{0})
+    retry_after = contended_retry_after(reason, retry_after);
   bool is_commit = statement_.verb == statement_verb::commit;
   bool in_transaction = transaction_phase_ != phase::none;
   if (in_transaction && !is_commit) transaction_phase_ = phase::failed;
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -87,18 +87,21 @@
   const fleet_config& config = *state_.config;
   std::optional<refusal> refused;
   if (config.version() == 0) {
-    refused = refusal{failure_kind::busy, "no configuration yet",
+    refused = refusal{failure_kind::busy, refusal_reason::no_configuration,
                       unconfirmed_retry_after};
   } else if (const route* known_route = config.find_route(database_)) {
     if (!known_route->open_to_all && !config.find_team_by_key(key_)) {
-      refused = refusal{failure_kind::unknown_key, "no team has this key"};
+      refused = refusal{failure_kind::unknown_key, refusal_reason::unknown_key};
     }
   } else {
-    refused = refusal{failure_kind::unknown_database, "no such database"};
+    refused = refusal{failure_kind::unknown_database,
+                      refusal_reason::unknown_database};
   }
   if (refused) {
-    wire::write_failure(stream_.output(), refused->kind, refused->reason,
-                        refused->retry_after);
+    wire::write_failure(stream_.output(), refused->kind,
+                        text_of(refused->reason), refused->retry_after);
+    state_.metrics.refusals().count(refused->reason, {}, anonymous_team,
+                                    state_.settings.domain, config);
     log_refusal("-", *refused);
     return finish();
   }
@@ -113,7 +116,8 @@
   bool ends_transaction = statement.verb == statement_verb::rollback ||
                           statement.verb == statement_verb::commit;
   if (transaction_phase_ == phase::failed && !ends_transaction) {
-    return reply_failure({failure_kind::bad_statement, "roll back first"});
+    return reply_failure(
+        {failure_kind::bad_statement, refusal_reason::roll_back_first});
   }
   switch (statement.verb) {
     case statement_verb::begin:
@@ -136,13 +140,14 @@
     case statement_verb::unknown:
       break;
   }
-  reply_failure({failure_kind::bad_statement, "unknown statement"});
+  reply_failure(
+      {failure_kind::bad_statement, refusal_reason::unknown_statement});
 }
 
 void client_session::handle_begin(const session_statement& statement) {
   if (transaction_phase_ != phase::none) {
     return reply_failure(
-        {failure_kind::bad_statement, "a transaction is open already"});
+        {failure_kind::bad_statement, refusal_reason::transaction_open});
   }
   if (auto refused = begin_operation()) return reply_failure(*refused);
   transaction_phase_ = phase::open;
@@ -154,7 +159,8 @@
 
 void client_session::handle_rollback() {
   if (transaction_phase_ == phase::none) {
-    return reply_failure({failure_kind::bad_statement, "no transaction"});
+    return reply_failure(
+        {failure_kind::bad_statement, refusal_reason::no_transaction});
   }
   transaction_phase_ = phase::none;
   timer_.disarm();
@@ -165,11 +171,13 @@
 
 void client_session::handle_commit(const session_statement& statement) {
   if (transaction_phase_ == phase::none) {
-    return reply_failure({failure_kind::bad_statement, "no transaction"});
+    return reply_failure(
+        {failure_kind::bad_statement, refusal_reason::no_transaction});
   }
   if (transaction_phase_ != phase::open) {
     transaction_phase_ = phase::none;
-    return reply_failure({failure_kind::aborted, "the transaction has failed"});
+    return reply_failure(
+        {failure_kind::aborted, refusal_reason::transaction_failed});
   }
   start_statement(statement);
 }
@@ -195,12 +203,12 @@
   if (transaction_phase_ == phase::broken) {
     transaction_phase_ = phase::failed;
     return reply_failure(
-        {failure_kind::aborted, "the transaction's connection was lost"});
+        {failure_kind::aborted, refusal_reason::transaction_lost});
   }
   if (statement.verb == statement_verb::execute &&
       !values_.prepared.contains(statement.name)) {
     return reply_failure(
-        {failure_kind::unknown_prepared, "no such prepared name"});
+        {failure_kind::unknown_prepared, refusal_reason::unknown_prepared});
   }
   if (transaction_phase_ == phase::none) {
     if (auto refused = begin_operation()) return reply_failure(*refused);
@@ -215,7 +223,8 @@
   const fleet_config& config = *state_.config;
   const route* found = config.find_route(database_);
   if (!found)
-    return refusal{failure_kind::unknown_database, "no such database"};
+    return refusal{failure_kind::unknown_database,
+                   refusal_reason::unknown_database};
   route_ = *found;
   return check_key(*found);
 }
@@ -227,9 +236,10 @@
   key_required_ = !current_route.open_to_all;
   operation_team_ = plan ? plan->team : anonymous_team;
   if (!key_required_) return {};
-  if (!plan) return refusal{failure_kind::unknown_key, "no team has this key"};
+  if (!plan)
+    return refusal{failure_kind::unknown_key, refusal_reason::unknown_key};
   if (!state_.confirmation.valid(now)) {
-    return refusal{failure_kind::busy, "keys can't be checked now",
+    return refusal{failure_kind::busy, refusal_reason::keys_unconfirmed,
                    unconfirmed_retry_after};
   }
   auto verdict = state_.rate_limits.reserve(now, plan->team);
@@ -250,7 +260,7 @@
          {"peers_use_per_s", to_integer(verdict.expected_rate)},
          {"unreported", to_integer(verdict.unreported)}});
   }
-  return refusal{failure_kind::busy, "over the team's rate",
+  return refusal{failure_kind::busy, refusal_reason::over_rate,
                  verdict.retry_after};
 }
 
@@ -281,8 +291,12 @@
 
 void client_session::reply_failure(const refusal& refused) {
   state_.metrics.count_refused(refused.kind);
+  auto kind =
+      route_.database.empty() ? std::nullopt : std::optional(route_.kind);
+  state_.metrics.refusals().count(refused.reason, kind, operation_team_,
+                                  state_.settings.domain, *state_.config);
   log_refusal(last_statement_id_, refused);
-  wire::write_failure(stream_.output(), refused.kind, refused.reason,
+  wire::write_failure(stream_.output(), refused.kind, text_of(refused.reason),
                       refused.retry_after);
   reply_ready({});
 }
@@ -295,7 +309,7 @@
 void client_session::log_refusal(std::string_view id, const refusal& refused) {
   if (!state_.log.would_write(journal_kind::refusal)) return;
   std::string code;
-  wire::write_failure(code, refused.kind, refused.reason, duration{0});
+  wire::write_failure(code, refused.kind, text_of(refused.reason), duration{0});
   code.resize(code.size() - 2);
   instant now = state_.loop.now();
   auto config_age = state_.confirmation.confirmed()
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -46,6 +46,7 @@
   void on_input() override;
   void on_closed() override;
   void on_link(upstream_link& link) override;
+  void on_refused(refusal_reason reason, duration expected_wait) override;
   void on_answer(upstream_link& link, const link_answer& answer) override;
   void on_link_lost(upstream_link& link) override;
   void on_link_silent(upstream_link& link) override;
@@ -76,7 +77,7 @@
     instant arrived_at;
     instant deadline;
     unsigned attempts = 0;
-    bool sent = false;  ///< To an upstream, by the current attempt.
+    bool sent = false;          ///< To an upstream, by the current attempt.
     /// The timer ends this attempt before the deadline; a retry may follow.
     bool early_timeout = false;
     std::string text_after_begin;  ///< Sent after a successful begin.
@@ -85,7 +86,7 @@
 
   struct refusal {
     wire::failure_kind kind;
-    std::string_view reason;
+    refusal_reason reason;
     duration retry_after{0};
   };
 
@@ -123,8 +124,8 @@
   void handle_error(upstream_link& link, wire::failure_kind kind);
   void handle_execution_error(upstream_link& link, wire::failure_kind kind);
   void record_lost_link(const upstream_link& link);
-  void retry_or_refuse(std::string_view reason);
-  void fail_statement(wire::failure_kind kind, std::string_view reason,
+  void retry_or_refuse(refusal_reason reason);
+  void fail_statement(wire::failure_kind kind, refusal_reason reason,
                       duration retry_after = duration{0});
   void end_statement();
   void release_link();
@@ -132,6 +133,12 @@
   void on_deadline();
   bool may_rerun() const;
   void retry_elsewhere(upstream_link& link, std::string_view reason);
+  bool may_retry_read() const;
+  void retry_refused_read();
+  void wait_for_link(upstream_group& group);
+  void arm_wait_check();
+  void check_wait();
+  duration contended_retry_after(refusal_reason reason, duration expected);
   void break_transaction(std::string_view reason);
 
   void reply_done();
--- a/src/proxy/link-request.h
+++ b/src/proxy/link-request.h
@@ -5,6 +5,7 @@
 
 #include "proxy/upstream-link.h"
 #include "toucanmux/core.h"
+#include "toucanmux/proxy/admission/refusal-reason.h"
 #include "toucanmux/proxy/placement/upstream-choice.h"
 
 namespace toucanmux {
@@ -19,6 +20,10 @@
   /// Called when the request was removed from the queue. The request may use
   /// the link until it calls `release` of the link.
   virtual void on_link(upstream_link& link) = 0;
+  /// Called while the request waits, when it can't be served before its
+  /// deadline. The request removes itself from the queue.
+  /// @param expected_wait when the cause is expected to end; 0 if unknown.
+  virtual void on_refused(refusal_reason reason, duration expected_wait) = 0;
 
   upstream_requirements requirements;
   team_id team;
@@ -26,6 +31,9 @@
   const session_values* values = nullptr;
   unsigned priority = 0;  ///< 0 is served first.
   instant waiting_since;
+  instant deadline;  ///< A request that can't be served by then is refused.
+  duration cost{0};  ///< Expected time on a connection; set by the group.
+  std::uint64_t seen_in_pass = 0;  ///< Used by the queue.
 };
 
 }  // namespace toucanmux
--- a/src/proxy/proxy-metrics.cc
+++ b/src/proxy/proxy-metrics.cc
@@ -33,7 +33,8 @@
       gauge_family_(prometheus::BuildGauge()
                         .Name("toucanmux_state")
                         .Help("Current values of this process.")
-                        .Register(registry_)) {}
+                        .Register(registry_)),
+      refusals_(registry_) {}
 
 void proxy_metrics::count_served(route_kind kind, duration latency) {
   auto index = static_cast<std::size_t>(kind);
--- a/src/proxy/proxy-metrics.h
+++ b/src/proxy/proxy-metrics.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <string>
 
+#include "proxy/admission/refusal-counter.h"
 #include "proxy/wire.h"
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/route.h"
@@ -22,6 +23,7 @@
 
   void count_served(route_kind kind, duration latency);
   void count_refused(wire::failure_kind failure);
+  refusal_counter& refusals() { return refusals_; }
   /// Sets the gauge `toucanmux_state` with the label `name`.
   void set(std::string_view name, double value);
   /// All metrics in the Prometheus text format.
@@ -34,6 +36,7 @@
   prometheus::Family<prometheus::Counter>& refused_family_;
   prometheus::Family<prometheus::Histogram>& latency_family_;
   prometheus::Family<prometheus::Gauge>& gauge_family_;
+  refusal_counter refusals_;
   std::array<prometheus::Counter*, max_failure_kinds> refused_counters_{};
   std::array<prometheus::Histogram*, 3> latency_histograms_{};
 };
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -144,7 +144,10 @@
 }
 
 void proxy_process::tick() {
-  for (auto& [id, group] : state_.groups) group->tick();
+  for (auto& [id, group] : state_.groups) {
+    group->set_contended(state_.contended);
+    group->tick();
+  }
   check_leases();
   update_contention();
   store_.tick();
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -41,6 +41,7 @@
   if (expected_leader() == database.entry.id) watch_.leader_failed(loop_.now());
   if (database.suspended) return;
   database.suspended = true;
+  schedule_check();
   log_.write(journal_kind::dependency, "upstream_lost",
              {{"group", id_.value}, {"upstream", database.entry.id.value}});
 }
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -173,6 +173,7 @@
   for (auto& up : upstreams_) {
     if (up->entry.id == id && !up->removed_at) up->removed_at = loop_.now();
   }
+  schedule_check();
 }
 
 bool upstream_group::removal_is_final(const upstream& database) const {
@@ -261,6 +262,12 @@
     watch_.set_leader(upstreams_[*expected]->entry.id);
   }
   auto index = leader_index();
+  if (index) {
+    leaderless_since_.reset();
+  } else if (!leaderless_since_) {
+    leaderless_since_ = loop_.now();
+    schedule_check();
+  }
   if (!index) return;
   const auto& id = upstreams_[*index]->entry.id;
   if (logged_leader_ == id) return;
@@ -396,19 +403,24 @@
 }
 
 upstream_link* upstream_group::try_acquire(const link_request& request) {
+  // The statements that wait are served at the end of this turn.
+  if (contended_ && serve_scheduled_ && !request.is_linked()) return nullptr;
   auto leader = leader_index();
   std::vector<upstream_candidate> candidates;
   candidates.reserve(upstreams_.size());
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     candidates.push_back(make_candidate(i, leader == i, request));
+    if (contended_) withhold_claimed(request, candidates.back());
   }
-  auto chosen = choose_upstream(candidates, request.requirements);
+  auto chosen = choose(candidates, request);
   if (!chosen) return nullptr;
   if (!candidates[*chosen].warm) {
     make_room_or_open(*chosen, request);
     return nullptr;
   }
   upstream_link* link = idle_link(*upstreams_[*chosen], request);
+  if (contended_)
+    queue_.record_start(request, upstreams_[*chosen]->response_time);
   ++upstreams_[*chosen]->in_flight;
   return link;
 }
@@ -450,15 +462,9 @@
 }
 
 void upstream_group::enqueue(link_request& request) {
-  auto position = std::find_if(queue_.begin(), queue_.end(),
-                               [&](const link_request& queued) {
-                                 return queued.priority > request.priority;
-                               });
-  queue_.insert(position, request);
-}
-
-std::size_t upstream_group::queue_length() const {
-  return static_cast<std::size_t>(std::distance(queue_.begin(), queue_.end()));
+  if (contended_) request.cost = expected_cost(request);
+  queue_.push(request);
+  if (contended_) schedule_serve();
 }
 
 bool upstream_group::may_serve(
@@ -503,17 +509,8 @@
 }
 
 void upstream_group::serve_queue() {
-  if (serving_queue_) return;
-  serving_queue_ = true;
-  for (auto next = queue_.begin(); next != queue_.end();) {
-    link_request& request = *next;
-    ++next;
-    upstream_link* link = try_acquire(request);
-    if (!link) continue;
-    request.unlink();
-    request.on_link(*link);
-  }
-  serving_queue_ = false;
+  queue_.serve(
+      [this](const link_request& request) { return try_acquire(request); });
 }
 
 void upstream_group::send_control_request(const database_id& id,
@@ -547,6 +544,7 @@
 
 void upstream_group::on_link_ready(upstream_link& link) {
   record_answer(*upstreams_[link.upstream()]);
+  record_opening(link);
   for (auto& request : control_requests_) {
     if (!request->waits_for(link)) continue;
     ++upstreams_[link.upstream()]->in_flight;
@@ -579,6 +577,7 @@
     ++connections_refused_;
     up.link_idle_timeout.record_refusal();
     up.full_until = loop_.now() + full_backoff;
+    up.refusals.record(loop_.now());
   } else if (!was_opened) {
     suspend(up);
   }
@@ -624,6 +623,7 @@
   abort_removed();
   for (auto& up : upstreams_) up->link_idle_timeout.tick();
   close_surplus_links();
+  check_waiting();
   schedule_serve();
 }
 
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -7,10 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "proxy/admission/wait-queue.h"
 #include "proxy/link-request.h"
 #include "proxy/upstream-link.h"
 #include "proxy/upstream.h"
+#include "toucanmux/proxy/admission/finish-estimate.h"
 #include "toucanmux/proxy/admission/queue-admission.h"
+#include "toucanmux/proxy/admission/retry-schedule.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/leader-watch.h"
@@ -57,7 +60,26 @@
   /// Queues the request for a link. `unlink` or destroying the request removes
   /// it from the queue.
   void enqueue(link_request& request);
-  std::size_t queue_length() const;
+  std::size_t queue_length() const { return queue_.size(); }
+  /// In a contended deployment statements wait in the order of `fair_order`,
+  /// and a statement uses nothing that a more urgent waiting one could use.
+  void set_contended(bool contended);
+  /// Whether a connection is being opened that the request may use.
+  bool is_opening_for(const link_request& request) const;
+  /// When the request is expected to finish if it waits in the queue.
+  finish_estimate estimate_finish(const link_request& request) const;
+  /// When a refused request may return, so that those that were refused
+  /// together return as fast as they can be served.
+  /// @param expected when the cause of the refusal is expected to end.
+  duration schedule_retry(const link_request& request, duration expected);
+  /// The expected time until statements may be sent to a leader again.
+  duration leader_change_remaining() const;
+  /// Whether the group's databases refuse more and more.
+  bool refusals_increase();
+  /// Records that the database refused a statement because of its load.
+  void record_refusal(std::size_t index) {
+    upstreams_[index]->refusals.record(loop_.now());
+  }
   /// True if at least one database could serve the request. Otherwise the
   /// request should be refused rather than queued.
   bool may_serve(const upstream_requirements& requirements) const;
@@ -141,10 +163,6 @@
   static constexpr duration retire_timeout = std::chrono::milliseconds(300);
 
   class control_request;
-  using request_queue =
-      boost::intrusive::list<link_request,
-                             boost::intrusive::constant_time_size<false>>;
-
   static bool is_outdated(const upstream& known, const upstream_entry& entry);
 
   using upstream_slot = std::vector<std::unique_ptr<upstream>>::iterator;
@@ -158,6 +176,7 @@
   bool removal_is_final(const upstream& database) const;
   bool usable(const upstream& database) const;
   void record_answer(upstream& database);
+  void record_opening(const upstream_link& link);
   void update_leader();
   upstream_candidate make_candidate(std::size_t index, bool is_leader,
                                     const link_request& request) const;
@@ -168,6 +187,17 @@
   void make_room_or_open(std::size_t index, const link_request& request);
   bool is_opening(std::size_t index, const team_id& team) const;
   void serve_queue();
+  void withhold_claimed(const link_request& request,
+                        upstream_candidate& candidate) const;
+  std::optional<std::size_t> choose(std::span<upstream_candidate> candidates,
+                                    const link_request& request) const;
+  serving_state serving_state_for(const link_request& request) const;
+  void add_serving(const upstream& database, serving_state& state) const;
+  duration expected_cost(const link_request& request) const;
+  bool has_link_of(const link_request& request) const;
+  bool may_run(std::size_t index, const link_request& request) const;
+  void check_waiting();
+  void schedule_check();
   void suspend_silent();
   void suspend(upstream& database);
   void probe_suspended(std::size_t index);
@@ -190,7 +220,11 @@
   group_policy policy_;
   std::shared_ptr<const std::vector<member_id>> members_;  ///< All instances.
   std::vector<std::unique_ptr<upstream>> upstreams_;
-  request_queue queue_;
+  wait_queue queue_;
+  bool contended_ = false;
+  bool check_scheduled_ = false;
+  retry_schedule retries_;
+  std::optional<instant> leaderless_since_;
   position_samples samples_;
   leader_watch watch_;
   std::optional<database_id> logged_leader_;
@@ -200,7 +234,6 @@
   instant samples_requested_at_;
   probe_mode probe_mode_ = probe_mode::own;
   team_id probe_team_;
-  bool serving_queue_ = false;
   bool serve_scheduled_ = false;
   std::vector<std::unique_ptr<control_request>> control_requests_;
   std::uint64_t connections_opened_ = 0;
--- a/src/proxy/upstream-link.cc
+++ b/src/proxy/upstream-link.cc
@@ -5,6 +5,7 @@
 bool upstream_link::connect(const upstream_entry& entry, duration timeout) {
   wire::write_connect(connect_line_, entry.group, team_.value, entry.id);
   loop_.arm_in(timeout_timer_, timeout);
+  created_at_ = loop_.now();
   return stream_.connect(entry.address);
 }
 
--- a/src/proxy/upstream-link.h
+++ b/src/proxy/upstream-link.h
@@ -76,6 +76,8 @@
   /// When the last user released the link.
   instant idle_since() const { return idle_since_; }
   instant opened_at() const { return opened_at_; }
+  /// When the link began to connect.
+  instant created_at() const { return created_at_; }
   /// When the oldest statement without an answer was sent, if there is one.
   std::optional<instant> oldest_unanswered_at() const;
   const session_values& values() const { return values_; }
@@ -145,6 +147,7 @@
   wire::transaction_state transaction_state_ = wire::transaction_state::idle;
   instant idle_since_;
   instant opened_at_;
+  instant created_at_;
   std::deque<expected_answer> expected_answers_;
   session_values values_;
   std::map<prepared_statement, std::string> prepared_;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "proxy/upstream-link.h"
+#include "toucanmux/proxy/admission/refusal-trend.h"
 #include "toucanmux/proxy/connections/connection-share.h"
 #include "toucanmux/proxy/connections/idle-timeout.h"
 #include "toucanmux/proxy/placement/outcome-score.h"
@@ -39,7 +40,10 @@
   std::uint64_t term = 0;  ///< Highest term seen in answers.
   /// Moving average that starts with this estimate.
   duration response_time = std::chrono::milliseconds(15);
+  /// Moving average of the time to open a connection.
+  duration open_time = std::chrono::milliseconds(15);
   outcome_score outcomes;
+  refusal_trend refusals;  ///< Statements and connections that it refused.
   std::optional<instant> last_answer_at;  ///< Any kind of answer.
   unsigned in_flight = 0;                 ///< Links in use.
   team_id last_team;                      ///< Of the newest connection.
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -116,6 +116,7 @@
   BOOST_TEST(entry.id.value == "i-1");
   BOOST_TEST(entry.claims_lead);
   BOOST_TEST(entry.sequence == 7U);
+  BOOST_TEST(entry.slots == 3U);
   BOOST_TEST(to_text(entry.address) == "10.1.64.9:8080");
 }
 
--- /dev/null
+++ b/test/wait-queue-test.cc
@@ -0,0 +1,187 @@
+#define BOOST_TEST_MODULE wait_queue
+#include "proxy/admission/wait-queue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "standin/proxy/session-fixture.h"
+
+using namespace toucanmux;
+using namespace toucanmux::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct test_request final : link_request {
+  test_request(const std::string& name, unsigned rank, duration time_left = 1s)
+      : deadline_in(time_left) {
+    team = team_id(name);
+    priority = rank;
+    requirements.leader_only = true;
+  }
+  void on_link(upstream_link& link) override {
+    link_ = &link;
+    served_as = ++served_count;
+  }
+  void on_refused(refusal_reason reason, duration) override {
+    unlink();
+    refused = reason;
+  }
+  upstream_link* link_ = nullptr;
+  std::optional<refusal_reason> refused;
+  duration deadline_in;
+  unsigned served_as = 0;  ///< Its number among all that got a connection.
+  static inline unsigned served_count = 0;
+};
+
+/// Two connections to the leader, the least that an instance may open, in a
+/// contended deployment.
+struct contended_sessions : session_fixture {
+  contended_sessions() {
+    state.contended = true;
+    group().set_contended(true);
+    group().set_policy({group().id(), 2, 0});
+    group().set_members(
+        std::make_shared<const std::vector<member_id>>(1, state.settings.self));
+  }
+  void enqueue(test_request& request) {
+    request.deadline = loop.now() + request.deadline_in;
+    group().enqueue(request);
+  }
+  /// Starts statements whose answers are held, so that both connections are in
+  /// use.
+  std::vector<std::unique_ptr<line_client>> occupy() {
+    std::vector<std::unique_ptr<line_client>> out;
+    first.defer_answers = true;
+    for (std::size_t i = 0; i < 2; ++i) {
+      out.push_back(connect("orders"));
+      out.back()->send("QUERY 1 PUT 1a4 x");
+      while (first.executed().size() <= i) loop.turn(20ms);
+    }
+    return out;
+  }
+  /// Callers whose statements wait for a connection.
+  std::vector<std::unique_ptr<line_client>> wait(std::size_t number) {
+    std::vector<std::unique_ptr<line_client>> out;
+    for (std::size_t i = 0; i < number; ++i) {
+      out.push_back(connect("orders"));
+      out.back()->send("QUERY w" + std::to_string(i) + " PUT 1a4 x");
+    }
+    while (group().queue_length() < number) loop.turn(20ms);
+    return out;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(contended, contended_sessions)
+
+// Guards against a late, less urgent statement that finds a connection free
+// before the waiting one gets it.
+BOOST_AUTO_TEST_CASE(a_statement_takes_no_connection_of_a_more_urgent_one) {
+  connect("orders")->request("QUERY 1 FETCH 1a4");
+  test_request urgent("glaziers", 0);
+  test_request late("glaziers", 2);
+  enqueue(urgent);
+  BOOST_TEST(!group().try_acquire(late));
+  enqueue(late);
+  while (!late.link_) loop.turn(20ms);
+  BOOST_TEST(urgent.served_as < late.served_as);
+  urgent.link_->release();
+  late.link_->release();
+}
+
+// Guards against a connection that stays with its team while a more urgent
+// statement of another team needs its place.
+BOOST_AUTO_TEST_CASE(a_more_urgent_statement_gets_the_place_of_a_connection) {
+  auto callers = occupy();
+  first.send_deferred_answers();
+  for (auto& caller : callers) caller->read_answer();
+  test_request urgent("masons", 0);
+  test_request late("glaziers", 2);
+  enqueue(late);
+  enqueue(urgent);
+  BOOST_TEST(!group().try_acquire(late));
+  while (!late.link_) loop.turn(20ms);
+  BOOST_TEST(urgent.served_as < late.served_as);
+  BOOST_TEST(urgent.served_as > 0U);
+  urgent.link_->release();
+  late.link_->release();
+}
+
+// Guards against a team that delays the others by the length of its queue, and
+// against deadlines that are missed for the order of arrival.
+BOOST_AUTO_TEST_CASE(teams_take_turns_and_each_goes_by_deadline) {
+  wait_queue queue;
+  queue.set_contended(true);
+  test_request hot_1("hot", 1), hot_2("hot", 1), hot_3("hot", 1),
+      small("small", 1);
+  int left_s = 9;
+  for (auto* each : {&hot_1, &hot_2, &hot_3, &small}) {
+    each->cost = 20ms;
+    each->deadline = instant{std::chrono::seconds(left_s--)};
+    queue.push(*each);
+  }
+  std::vector<const link_request*> order;
+  queue.for_each([&](link_request& each) { order.push_back(&each); });
+  std::vector<const link_request*> expected{&small, &hot_3, &hot_2, &hot_1};
+  BOOST_TEST((order == expected));
+  BOOST_TEST((queue.work_before(hot_1) == 60ms));
+  {
+    test_request leaving("small", 0);
+    queue.push(leaving);
+  }
+  BOOST_TEST(queue.size() == 4U);
+}
+
+// Guards against statements that wait for a leader that is gone.
+BOOST_AUTO_TEST_CASE(all_are_refused_at_once_when_the_leader_goes) {
+  auto occupier = occupy();
+  auto callers = wait(6);
+  group().record_not_leader(0);
+  std::set<std::string> answers;
+  for (auto& caller : callers) {
+    auto answer = caller->read_answer();
+    BOOST_TEST(answer.starts_with("ERR BUSY no database can serve this now"));
+    answers.insert(answer);
+  }
+  // The retry times differ.
+  BOOST_TEST(answers.size() > 1U);
+  BOOST_TEST(first.executed().size() == 2U);
+  auto metrics = state.metrics.text();
+  BOOST_TEST(metrics.find("toucanmux_refusals_total{domain=\"a\",reason=\"no_"
+                          "database\",route=\"leader\",team=\"glaziers\"} 6") !=
+             std::string::npos);
+}
+
+// Guards against what a caller that has left still holds: its place in the
+// queue, its token of the team's rate and its connection.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_frees_what_it_holds) {
+  team_plan small{team_id("glaziers"), 0.1, 3, {"key-1"}};
+  state.rate_limits.configure(loop.now(), std::span(&small, 1));
+  auto occupier = occupy();
+  auto waiting = wait(1);
+  waiting[0]->close();
+  while (group().queue_length() > 0) loop.turn(20ms);
+  occupier[0]->close();
+  loop.turn(20ms);
+  first.send_deferred_answers();
+  auto caller = connect("orders");
+  BOOST_TEST(caller->request("QUERY 2 PUT 1a4 x").starts_with("ROW"));
+  BOOST_TEST(caller->request("QUERY 3 PUT 1a4 x").find("rate") !=
+             std::string::npos);
+}
+
+// Guards against statements that wait although they can't be served in time.
+BOOST_AUTO_TEST_CASE(a_waiting_statement_is_refused_when_it_becomes_hopeless) {
+  auto occupier = occupy();
+  test_request waiting("glaziers", 1, 300ms);
+  enqueue(waiting);
+  group().tick();
+  BOOST_TEST(!waiting.refused.has_value());
+  waiting.deadline = loop.now() + 5ms;
+  group().tick();
+  BOOST_TEST((waiting.refused == refusal_reason::queue_too_long));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
