--- a/src/proxy/admission/retry-time.cc
+++ b/src/proxy/admission/retry-time.cc
@@ -26,10 +26,10 @@
 duration retry_time(duration expected, unsigned priority, std::uint64_t seed) {
   duration spread =
       std::clamp(expected / spread_divisor, min_spread, max_spread);
-  auto intervals = static_cast<duration::rep>(last_priority + 1);
+  constexpr duration::rep intervals = last_priority + 1;
   duration base =
       std::clamp(expected, min_retry_time, max_retry_time - spread * intervals);
-  auto interval = static_cast<duration::rep>(std::min(priority, last_priority));
+  duration::rep interval = std::min(priority, last_priority);
   auto step = static_cast<duration::rep>(mix(seed) % seed_steps);
   return base + spread * interval +
          spread * step / static_cast<duration::rep>(seed_steps);
