--- a/test/wait-queue-test.cc
+++ b/test/wait-queue-test.cc
@@ -184,4 +184,16 @@
   BOOST_TEST((waiting.refused == refusal_reason::queue_too_long));
 }
 
+// Guards against internal retries that add to the load of a group whose
+// databases refuse more and more.
+BOOST_AUTO_TEST_CASE(reads_are_not_retried_while_refusals_increase) {
+  connect("orders")->request("QUERY 1 FETCH 1a4");
+  for (int i = 0; i < 100; ++i) state.read_retries.count_request(loop.now());
+  first.error_code = second.error_code = third.error_code = "BUSY";
+  auto caller = connect("stock");
+  for (int i = 0; i < 10; ++i) caller->request("QUERY 2 FETCH 1a4");
+  // Without the stop, 10 reads use up the budget of 10 retries.
+  BOOST_TEST(state.read_retries.may_retry(loop.now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
