Balance load by what all instances report of the databases

Cause: each instance knew only its own statements and chose the lowest cost, so that many instances with the same information chose the same database. Change, in contended deployments only: reports carry each database's mean number of statements in progress and how its reads ended, 8 bytes an entry; a hub sends sums while they are at most 9% of its other bytes. Members subtract what the hub had of their own. The choice is spread over the databases within the uncertainty that the age of the information gives; a loaded database gives reads of its own failure domain away; failing, refusing and slow databases are ejected, at most half of a group, and return over 5 s. Other deployments choose as before and send one byte more in each part of a report.

--- a/include/toucanmux/proxy/placement/upstream-choice.h
+++ b/include/toucanmux/proxy/placement/upstream-choice.h
@@ -21,6 +21,15 @@
   duration response_time{0};  ///< Moving average.
   bool lagging = false;     ///< Recently lacked a position that a read needed.
   double failure_rate = 0;  ///< Share of recent statements that failed, 0 to 1.
+
+  // The fleet's load, which only `choose_by_load` reads.
+  double fleet_in_flight = 0;  ///< Statements that all instances run there.
+  duration fleet_latency{0};   ///< Mean response time of reads.
+  /// Share of the reads that a database which returns from its ejection gets; 0
+  /// while it is ejected.
+  double read_share = 1;
+  /// Share of its failure domain's reads that it gives away to other domains.
+  double shed_share = 0;
 };
 
 /// What a statement requires of its upstream.
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -291,7 +291,7 @@
       if (requirements.leader_only) {
         return fail_statement(kind, "the leader is busy", overload_retry_after);
       }
-      if (group) group->record_failure(link.upstream());
+      if (group) group->record_refusal(link.upstream());
       requirements.excluded |= upstream_bit;
       return retry_or_refuse("the databases are busy");
     case failure_kind::not_leader:
@@ -310,7 +310,7 @@
 void client_session::handle_execution_error(upstream_link& link,
                                             failure_kind kind) {
   upstream_group* group = state_.find_group(route_.group);
-  if (group) group->record_failure(link.upstream());
+  if (group) group->record_failure(link.upstream(), requirements.leader_only);
   bool may_retry = group && may_rerun() && !requirements.leader_only &&
                    statement_.attempts < max_attempts && !deadline_reached() &&
                    state_.read_retries.may_retry(state_.loop.now());
@@ -356,7 +356,7 @@
 void client_session::record_lost_link(const upstream_link& link) {
   log_attempt("the database's connection was lost");
   auto* group = state_.find_group(route_.group);
-  if (group) group->record_failure(link.upstream());
+  if (group) group->record_failure(link.upstream(), requirements.leader_only);
 }
 
 // True for a read outside of a transaction and for the first one of a read-only
@@ -416,7 +416,7 @@
     if (!state_.read_retries.may_retry(state_.loop.now())) return;
     state_.read_retries.count_retry(state_.loop.now());
     if (auto* group = state_.find_group(route_.group)) {
-      group->record_failure(link_->upstream());
+      group->record_failure(link_->upstream(), requirements.leader_only);
     }
     return retry_elsewhere(*link_, "no answer within the usual response time");
   }
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -58,6 +58,7 @@
   apply_sightings(sender, report);
   apply_positions(echo, report.positions.items);
   if (!report.is_first_part) return;
+  apply_loads(sender, report);
   apply_leader_records(report);
   apply_confirmations(sender, report);
   if (outcome.new_process) update_members();
@@ -137,6 +138,32 @@
   }
 }
 
+// The loads are taken from the same senders as the uses.
+void peer_service::apply_loads(const peer& sender, const peer_report& report) {
+  instant now = state_.loop.now();
+  bool near = peers_.is_near(sender);
+  bool from_single_instance = report.sender_scope == scope::self;
+  switch (peers_.own_role()) {
+    case role::mesh:
+      if (from_single_instance) loads_.apply_instance(sender, report);
+      return;
+    case role::hub: {
+      if (near && from_single_instance)
+        return loads_.apply_instance(sender, report);
+      const auto& domain = sender.record.domain;
+      bool is_hub_of_domain = !near && report.sender_scope == scope::domain &&
+                              peers_.hub_of(now, domain) == &sender;
+      if (is_hub_of_domain) loads_.apply_domain(domain, report);
+      return;
+    }
+    case role::member:
+      if (report.sender_scope == scope::fleet &&
+          peers_.domain_reader(now) == &sender)
+        loads_.apply_fleet(sender, report);
+      return;
+  }
+}
+
 void peer_service::apply_sightings(const peer& sender,
                                    const peer_report& report) {
   instant now = state_.loop.now();
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -80,6 +80,14 @@
   std::span<const Item> remaining_;
 };
 
+// What the lists that are not distributed over parts leave of a datagram.
+std::size_t free_list_bytes(const peer_report& report) {
+  auto used = report.gone.items.size() * gone_bytes +
+              report.leader_records.items.size() * leader_record_bytes +
+              report.loads.bytes();
+  return max_report_list_bytes - std::min(used, max_report_list_bytes);
+}
+
 // Rounded up and capped: an age at the cap is too old to confirm anything.
 std::uint32_t reported_age_ms(duration age) {
   auto age_ms = std::chrono::ceil<milliseconds>(age);
@@ -113,6 +121,7 @@
       incarnation_(stamp_of(boot_time())),
       peers_(state.settings.self, state.settings.domain,
              state.settings.cpu_millicores),
+      loads_(state),
       members_(std::make_shared<const std::vector<member_id>>(
           1, state.settings.self)) {}
 
@@ -277,6 +286,7 @@
        {"hub", hub ? hub->record.id.value : std::string()},
        {"members", std::uint64_t{member_count()}}});
   state_.rate_limits.remove_all_peers();
+  loads_.clear();
   update_expected_peers();
   expedite_reports();
   next_full_report_ = {};
@@ -314,6 +324,7 @@
   update_role();
   update_members();
   choose_probers();
+  loads_.tick();
   switch (peers_.own_role()) {
     case role::mesh:
       return tick_mesh();
@@ -444,15 +455,17 @@
   part_filler<team_usage> next_uses(uses);
   part_filler<group_sighting> next_sightings(sightings);
   part_filler<group_position> next_positions(positions);
+  report.loads.items = loads_.loads(options.sender_scope);
+  // Leader records and members that are gone are more urgent.
+  if (free_list_bytes(report) == 0) report.loads.items.reset();
+  const load_list loads = report.loads;
   report_parts out;
   report.first_stamp = next_stamp();
   report.stamp = report.first_stamp;
   report.all_teams = options.all_teams;
   report.total_uses = static_cast<std::uint32_t>(uses.size());
   do {
-    auto free_bytes = max_report_list_bytes -
-                      report.gone.items.size() * gone_bytes -
-                      report.leader_records.items.size() * leader_record_bytes;
+    auto free_bytes = free_list_bytes(report);
     next_positions.fill(report.positions.items, free_bytes);
     next_sightings.fill(report.sightings.items, free_bytes);
     next_uses.fill(report.uses.items, free_bytes);
@@ -463,9 +476,11 @@
     report.is_first_part = false;
     report.gone.items.clear();
     report.leader_records.items.clear();
+    report.loads.items.reset();
     report.stamp = next_stamp();
   } while (next_uses.has_items() || next_sightings.has_items() ||
            next_positions.has_items());
+  loads_.record_sent(options.sender_scope, report.first_stamp, loads, out);
   return out;
 }
 
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "proxy/peer-directory.h"
+#include "proxy/placement/load-exchange.h"
 #include "proxy/proxy-state.h"
 #include "proxy/store-api.h"
 #include "proxy/udp-port.h"
@@ -119,6 +120,7 @@
   void handle_report(const datagram& envelope, const inet_address& address,
                      std::uint64_t echo, const peer_report& report);
   void apply_uses(const peer& sender, const peer_report& report, bool complete);
+  void apply_loads(const peer& sender, const peer_report& report);
   void apply_sightings(const peer& sender, const peer_report& report);
   void apply_confirmations(const peer& sender, const peer_report& report);
   void apply_leader_records(const peer_report& report);
@@ -158,6 +160,7 @@
   std::uint64_t incarnation_;
   peer_directory peers_;
   peer_usage peer_usage_;
+  load_exchange loads_;
   /// Whether each report carries the positions of all groups.
   bool shares_positions_ = false;
   /// Alive, in this failure domain, this instance included.
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -90,7 +90,8 @@
       leases_(leases),
       drain_timeout_(drain_timeout),
       members_(std::make_shared<const std::vector<member_id>>()),
-      watch_(watch_settings(heartbeat)) {}
+      watch_(watch_settings(heartbeat)),
+      placement_seed_(stable_hash(self.value)) {}
 
 upstream_group::~upstream_group() = default;
 
@@ -402,13 +403,14 @@
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     candidates.push_back(make_candidate(i, leader == i, request));
   }
-  auto chosen = choose_upstream(candidates, request.requirements);
+  auto chosen = choose(candidates, request);
   if (!chosen) return nullptr;
   if (!candidates[*chosen].warm) {
     make_room_or_open(*chosen, request);
     return nullptr;
   }
   upstream_link* link = idle_link(*upstreams_[*chosen], request);
+  link->set_leader_only(request.requirements.leader_only);
   ++upstreams_[*chosen]->in_flight;
   return link;
 }
@@ -547,6 +549,7 @@
 
 void upstream_group::on_link_ready(upstream_link& link) {
   record_answer(*upstreams_[link.upstream()]);
+  meter_opening(*upstreams_[link.upstream()]);
   for (auto& request : control_requests_) {
     if (!request->waits_for(link)) continue;
     ++upstreams_[link.upstream()]->in_flight;
@@ -590,6 +593,7 @@
   instant now = loop_.now();
   upstream& up = *upstreams_[link.upstream()];
   record_answer(up);
+  meter_answer(link, answer);
   if (expected_leader_index() == link.upstream()) watch_.leader_answered(now);
   bool is_leader = leader_index() == link.upstream();
   if (answer.position) up.term = std::max(up.term, answer.position->term);
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -14,6 +14,7 @@
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/leader-watch.h"
+#include "toucanmux/proxy/placement/group-placement.h"
 #include "toucanmux/proxy/position-samples.h"
 
 namespace toucanmux {
@@ -90,9 +91,10 @@
   /// Records that the database's log lacks a position that a read requires.
   void record_lag(std::size_t index);
   /// Records that a statement failed at the database, for any reason.
-  void record_failure(std::size_t index) {
-    upstreams_[index]->outcomes.record(loop_.now(), true);
-  }
+  /// @param leader_only only the leader could run it.
+  void record_failure(std::size_t index, bool leader_only);
+  /// Records that the database was too busy for a read.
+  void record_refusal(std::size_t index);
   /// Adds a sample of the leader's position that a peer has confirmed.
   /// @param sent_at no later than when the peer sent its probe.
   void apply_sample(instant sent_at, const log_position& position);
@@ -121,6 +123,11 @@
   bool borrows_leader_connections() const;
   /// The team whose connections probe databases until another team is known.
   void set_probe_team(const team_id& team) { probe_team_ = team; }
+  /// Adds what this instance does at the databases that it uses.
+  void add_own_loads(std::vector<database_load>& out) const;
+  /// Takes the fleet's load into account from now on; null ends that.
+  void update_placement(const load_view* view);
+  const group_placement& placement() const { return placement_; }
   /// Called a few times a second for timeouts and probes.
   void tick();
   std::uint64_t connections_opened() const { return connections_opened_; }
@@ -139,6 +146,9 @@
   /// Time for the database to close a connection on request; it does so as soon
   /// as it has read the request.
   static constexpr duration retire_timeout = std::chrono::milliseconds(300);
+  /// Beyond this time a statement without an answer says that the database is
+  /// silent rather than that it is loaded.
+  static constexpr duration max_outstanding = std::chrono::milliseconds(500);
 
   class control_request;
   using request_queue =
@@ -178,6 +188,13 @@
   void close_surplus_links_to(upstream& database, bool is_leader);
   void abort_removed();
   void schedule_serve();
+  std::optional<std::size_t> choose(std::span<upstream_candidate> candidates,
+                                    const link_request& request) const;
+  database_load own_load(const upstream& database) const;
+  void meter_opening(upstream& database);
+  void meter_answer(const upstream_link& link, const link_answer& answer);
+  void log_ejection(const ejection_policy::event& event,
+                    std::span<const group_placement::database_state> states);
 
   event_loop& loop_;
   journal& log_;
@@ -203,6 +220,9 @@
   bool serving_queue_ = false;
   bool serve_scheduled_ = false;
   std::vector<std::unique_ptr<control_request>> control_requests_;
+  group_placement placement_;
+  bool balances_ = false;  ///< `placement_` chooses.
+  std::uint64_t placement_seed_;
   std::uint64_t connections_opened_ = 0;
   std::uint64_t connections_refused_ = 0;
 };
--- a/src/proxy/upstream-link.h
+++ b/src/proxy/upstream-link.h
@@ -85,6 +85,9 @@
   /// Sets the receiver of all further answers; null discards them.
   void set_user(link_user* user) { user_ = user; }
   link_user* user() const { return user_; }
+  /// Whether the user's statements require the leader.
+  void set_leader_only(bool leader_only) { leader_only_ = leader_only; }
+  bool for_leader_only() const { return leader_only_; }
   /// Ends the use of the link. `on_link_idle` follows after the last answer.
   void release();
 
@@ -141,6 +144,7 @@
   timer timeout_timer_;
   state state_ = state::connecting;
   link_user* user_ = nullptr;
+  bool leader_only_ = false;
   bool delivering_answer_ = false;
   wire::transaction_state transaction_state_ = wire::transaction_state::idle;
   instant idle_since_;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -6,6 +6,7 @@
 #include "proxy/upstream-link.h"
 #include "toucanmux/proxy/connections/connection-share.h"
 #include "toucanmux/proxy/connections/idle-timeout.h"
+#include "toucanmux/proxy/placement/load-meter.h"
 #include "toucanmux/proxy/placement/outcome-score.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
@@ -40,6 +41,7 @@
   /// Moving average that starts with this estimate.
   duration response_time = std::chrono::milliseconds(15);
   outcome_score outcomes;
+  load_meter meter;                       ///< Of this instance's statements.
   std::optional<instant> last_answer_at;  ///< Any kind of answer.
   unsigned in_flight = 0;                 ///< Links in use.
   team_id last_team;                      ///< Of the newest connection.
