Limit what one instance's report can claim of a database

Change: with 8 instances or more, a claim counts as at most 4 times the mean of the others' loads and reads, and latencies are joined by their geometric mean. Replays of a false report and of a flapping database; a test that no database is probed for its load.

--- a/include/toucanmux/proxy/placement/load-view.h
+++ b/include/toucanmux/proxy/placement/load-view.h
@@ -55,9 +55,21 @@
     source_kind kind = source_kind::instance;
     instant received_at;
     std::vector<database_load> loads;  ///< Sorted by database.
+
+    const database_load* find(std::uint32_t database) const;
   };
 
   static bool is_recent(instant now, const source& reporter);
+  /// The most that one instance may claim of a database.
+  struct claim_limits {
+    double in_flight = 0;
+    double reads = 0;
+  };
+
+  claim_limits instance_limits(instant now, std::uint32_t database) const;
+  static database_load aged(instant now, const source& reporter,
+                            const database_load& load,
+                            const claim_limits& limits);
   database_load peers_load(instant now, std::uint32_t database) const;
 
   std::map<std::uint64_t, source> sources_;
--- a/src/proxy/placement/database-load.cc
+++ b/src/proxy/placement/database-load.cc
@@ -86,6 +86,18 @@
   return (one * one_weight + other * other_weight) / weight;
 }
 
+// The geometric mean, so that a few false values do not dominate it.
+void add_latency(database_load& sum, const database_load& other) {
+  if (other.latency <= duration{0} || other.reads <= 0) return;
+  if (sum.latency <= duration{0} || sum.reads <= 0) {
+    sum.latency = other.latency;
+    return;
+  }
+  sum.latency =
+      from_ms(std::exp(mean_of(std::log(in_ms(sum.latency)), sum.reads,
+                               std::log(in_ms(other.latency)), other.reads)));
+}
+
 }  // namespace
 
 std::uint64_t database_load::packed() const {
@@ -133,9 +145,7 @@
       mean_of(sum.refused_rate, sum.reads, other.refused_rate, other.reads);
   sum.failed_rate =
       mean_of(sum.failed_rate, sum.reads, other.failed_rate, other.reads);
-  sum.latency = from_ms(mean_of(
-      in_ms(sum.latency), sum.latency > duration{0} ? sum.reads : 0,
-      in_ms(other.latency), other.latency > duration{0} ? other.reads : 0));
+  add_latency(sum, other);
   sum.reads += other.reads;
 }
 
--- a/src/proxy/placement/load-view.cc
+++ b/src/proxy/placement/load-view.cc
@@ -19,6 +19,16 @@
 // Beyond the connections that the largest share allows one instance at one
 // database, and sums of that. A report with higher values is hostile or false.
 constexpr double max_instance_load = 64;
+constexpr double max_instance_reads = 30;
+// With this many instances, the claim of one of them is limited to a multiple
+// of the others' mean, so that a false report moves few reads.
+constexpr std::size_t min_instances = 8;
+constexpr double max_to_mean = 4;
+// Below these an instance is not limited. With 1 statement and 4 reads the
+// replay of a false report missed the bound: an ejected database has few other
+// reads, and 1 statement is more than the fleet's mean.
+constexpr double min_load_limit = 0.25;
+constexpr double min_reads_limit = 1;
 constexpr double max_domain_load = 512;
 constexpr double max_fleet_load = 2048;
 
@@ -86,18 +96,58 @@
   return sum / count;
 }
 
+const database_load* load_view::source::find(std::uint32_t database) const {
+  database_load wanted;
+  wanted.database = database;
+  auto found =
+      std::lower_bound(loads.begin(), loads.end(), wanted, refers_to_less);
+  bool known = found != loads.end() && found->database == database;
+  return known ? &*found : nullptr;
+}
+
+load_view::claim_limits load_view::instance_limits(
+    instant now, std::uint32_t database) const {
+  claim_limits sum{0, 0};
+  claim_limits highest{0, 0};
+  std::size_t count = 0;
+  for (const auto& [id, reporter] : sources_) {
+    bool counts =
+        reporter.kind == source_kind::instance && is_recent(now, reporter);
+    if (!counts) continue;
+    ++count;
+    const auto* found = reporter.find(database);
+    if (!found) continue;
+    sum.in_flight += found->in_flight;
+    sum.reads += found->reads;
+    highest.in_flight = std::max(highest.in_flight, found->in_flight);
+    highest.reads = std::max(highest.reads, found->reads);
+  }
+  if (count < min_instances) return {max_instance_load, max_instance_reads};
+  auto factor = max_to_mean / static_cast<double>(count - 1);
+  return {
+      std::max(min_load_limit, factor * (sum.in_flight - highest.in_flight)),
+      std::max(min_reads_limit, factor * (sum.reads - highest.reads))};
+}
+
+database_load load_view::aged(instant now, const source& reporter,
+                              const database_load& load,
+                              const claim_limits& limits) {
+  database_load out = load;
+  out.age += now - reporter.received_at;
+  if (reporter.kind != source_kind::instance) return out;
+  out.in_flight = std::min(out.in_flight, limits.in_flight);
+  out.reads = std::min(out.reads, limits.reads);
+  return out;
+}
+
 database_load load_view::peers_load(instant now, std::uint32_t database) const {
   database_load out;
-  database_load wanted;
-  out.database = wanted.database = database;
+  out.database = database;
+  auto limits = instance_limits(now, database);
   for (const auto& [id, reporter] : sources_) {
     if (!is_recent(now, reporter)) continue;
-    auto found = std::lower_bound(reporter.loads.begin(), reporter.loads.end(),
-                                  wanted, refers_to_less);
-    if (found == reporter.loads.end() || found->database != database) continue;
-    database_load aged = *found;
-    aged.age += now - reporter.received_at;
-    add_load(out, aged);
+    const auto* found = reporter.find(database);
+    if (found) add_load(out, aged(now, reporter, *found, limits));
   }
   return out;
 }
@@ -127,19 +177,22 @@
                                            std::span<const database_load> own,
                                            bool all) const {
   std::map<std::uint32_t, database_load> totals;
-  auto add = [&](const database_load& load, duration since_received) {
-    auto [total, added] = totals.try_emplace(load.database);
-    total->second.database = load.database;
-    database_load aged = load;
-    aged.age += since_received;
-    add_load(total->second, aged);
-  };
-  for (const auto& load : own) add(load, duration{0});
+  std::map<std::uint32_t, claim_limits> limits;
+  for (const auto& load : own) {
+    database_load& total = totals[load.database];
+    total.database = load.database;
+    add_load(total, load);
+  }
   for (const auto& [id, reporter] : sources_) {
-    bool counts = all || reporter.kind == source_kind::instance;
-    if (!counts || !is_recent(now, reporter)) continue;
-    for (const auto& load : reporter.loads)
-      add(load, now - reporter.received_at);
+    bool is_instance = reporter.kind == source_kind::instance;
+    if ((!all && !is_instance) || !is_recent(now, reporter)) continue;
+    for (const auto& load : reporter.loads) {
+      auto [limit, unknown] = limits.try_emplace(load.database);
+      if (unknown) limit->second = instance_limits(now, load.database);
+      database_load& total = totals[load.database];
+      total.database = load.database;
+      add_load(total, aged(now, reporter, load, limit->second));
+    }
   }
   std::vector<database_load> out;
   out.reserve(totals.size());
--- a/test/placement-replay-test.cc
+++ b/test/placement-replay-test.cc
@@ -92,6 +92,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_flapping_database_is_avoided) {
+  pattern values;
+  values.failed_share = 0.45;
+  values.flaps = true;
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    auto played = play(values, seed);
+    BOOST_TEST(played.by_load.failed < played.today.failed);
+  }
+}
+
+// Guards against an instance whose false reports empty a good database.
+BOOST_AUTO_TEST_CASE(a_false_report_does_not_upset_the_balance) {
+  pattern values;
+  values.false_report = true;
+  for (unsigned seed = 1; seed <= 3; ++seed)
+    BOOST_TEST(play(values, seed).by_load.imbalance() < max_imbalance);
+}
+
 BOOST_AUTO_TEST_CASE(lost_reports_and_a_missing_hub_do_not_upset_the_balance) {
   pattern values;
   values.first_domain = 0.55;
--- a/test/placement-replay.h
+++ b/test/placement-replay.h
@@ -28,8 +28,12 @@
 struct pattern {
   double per_s = 100;  ///< Reads of the whole group.
   double writes_per_s = 0;
-  double slowness = 1;            ///< Of database 1.
-  double failed_share = 0;        ///< Of the reads at database 1.
+  double slowness = 1;      ///< Of database 1.
+  double failed_share = 0;  ///< Of the reads at database 1.
+  /// Database 1 fails only every other 3 s.
+  bool flaps = false;
+  /// One instance claims that database 2 is overloaded, slow and failing.
+  bool false_report = false;
   double lost_reports = 0;        ///< Share.
   bool fleet_has_gap = false;     ///< No report reaches anybody for 2 s.
   double first_domain = 1 / 3.0;  ///< Share of the choosers in domain 0.
@@ -180,7 +184,8 @@
         std::log(is_read ? 15.0 : 4.0), 0.6)(random_);
     if (d == 1) work_ms *= pattern_.slowness;
     item.work_left = std::chrono::microseconds(std::lround(work_ms * 1000));
-    item.fails = d == 1 && chance(pattern_.failed_share);
+    bool in_failure = !pattern_.flaps || (now_ - start) % 6s < 3s;
+    item.fails = d == 1 && in_failure && chance(pattern_.failed_share);
     item.arrived = now_;
     ++one.in_flight[d];
     queues_[d].push_back(item);
@@ -212,14 +217,19 @@
   }
 
   std::vector<database_load> sums() {
-    std::vector<database_load> out(databases);
-    for (std::size_t d = 0; d < databases; ++d) {
-      out[d].database = reference(d);
-      for (const auto& one : choosers_)
-        if (one.meters[d].used(now_))
-          add_load(out[d], one.meters[d].load(now_, reference(d), {}));
-      out[d] = database_load::unpack(out[d].packed());
+    load_view hub;
+    for (std::size_t i = 0; i < choosers; ++i) {
+      std::vector<database_load> own;
+      for (std::size_t d = 0; d < databases; ++d) {
+        const auto& meter = choosers_[i].meters[d];
+        if (meter.used(now_)) own.push_back(meter.load(now_, reference(d), {}));
+      }
+      if (i == 0 && pattern_.false_report)
+        own = {{reference(2), 60, 0, 1, 30000, 10s, 0s}};
+      hub.apply(now_, i, load_view::source_kind::instance, own);
     }
+    auto out = hub.sums(now_, {}, true);
+    for (auto& load : out) load = database_load::unpack(load.packed());
     return out;
   }
   static std::uint32_t reference(std::size_t d) {
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -307,6 +307,18 @@
   BOOST_TEST(group().placement().databases().empty());
 }
 
+// The load is learned from statements and reports alone.
+BOOST_FIXTURE_TEST_CASE(no_database_is_probed_for_its_load,
+                        standin::session_fixture) {
+  load_view view;
+  view.apply(loop.now(), 1, kind::fleet,
+             std::vector{load(database_reference("ledger", "i-2"), 9)});
+  group().update_placement(&view);
+  run_for(600ms);
+  BOOST_TEST(second.received_lines().empty());
+  BOOST_TEST(third.received_lines().empty());
+}
+
 // Guards against loads in the reports of deployments that are not contended,
 // and against their absence in the others.
 BOOST_FIXTURE_TEST_CASE(reports_carry_loads_under_contention,
