--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -293,12 +293,12 @@
       requirements.excluded |= upstream_bit;
       return retry_or_refuse(refusal_reason::lagging);
     case failure_kind::busy:
-      if (group) group->record_refusal(link.upstream());
+      if (group)
+        group->record_refusal(link.upstream(), requirements.leader_only);
       if (requirements.leader_only) {
         return fail_statement(kind, refusal_reason::leader_busy,
                               overload_retry_after);
       }
-      if (group) group->record_failure(link.upstream());
       requirements.excluded |= upstream_bit;
       if (state_.contended) return retry_refused_read();
       return retry_or_refuse(refusal_reason::databases_busy);
@@ -318,7 +318,7 @@
 void client_session::handle_execution_error(upstream_link& link,
                                             failure_kind kind) {
   upstream_group* group = state_.find_group(route_.group);
-  if (group) group->record_failure(link.upstream());
+  if (group) group->record_failure(link.upstream(), requirements.leader_only);
   bool may_retry = group && may_rerun() && !requirements.leader_only &&
                    statement_.attempts < max_attempts && !deadline_reached() &&
                    may_retry_read();
@@ -363,7 +363,7 @@
 void client_session::record_lost_link(const upstream_link& link) {
   log_attempt(text_of(refusal_reason::connection_lost));
   auto* group = state_.find_group(route_.group);
-  if (group) group->record_failure(link.upstream());
+  if (group) group->record_failure(link.upstream(), requirements.leader_only);
 }
 
 // True for a read outside of a transaction and for the first one of a read-only
@@ -423,7 +423,7 @@
     if (!may_retry_read()) return;
     state_.read_retries.count_retry(state_.loop.now());
     if (auto* group = state_.find_group(route_.group)) {
-      group->record_failure(link_->upstream());
+      group->record_failure(link_->upstream(), requirements.leader_only);
     }
     return retry_elsewhere(*link_, "no answer within the usual response time");
   }
--- a/src/proxy/upstream-group-admission.cc
+++ b/src/proxy/upstream-group-admission.cc
@@ -38,14 +38,14 @@
 
 // Where a connection of the team is being opened, the statement does not wait
 // for it while another database has a free one.
-std::optional<std::size_t> upstream_group::choose(
+std::optional<std::size_t> upstream_group::choose_free(
     std::span<upstream_candidate> candidates,
     const link_request& request) const {
-  auto chosen = choose_upstream(candidates, request.requirements);
+  auto chosen = choose(candidates, request);
   if (!contended_ || !chosen || candidates[*chosen].warm) return chosen;
   if (!is_opening(*chosen, request.team)) return chosen;
   for (auto& each : candidates) each.can_open = false;
-  return choose_upstream(candidates, request.requirements);
+  return choose(candidates, request);
 }
 
 bool upstream_group::may_run(std::size_t index,
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -7,6 +7,7 @@
 #include "toucanmux/proxy/admission/refusal-trend.h"
 #include "toucanmux/proxy/connections/connection-share.h"
 #include "toucanmux/proxy/connections/idle-timeout.h"
+#include "toucanmux/proxy/placement/load-meter.h"
 #include "toucanmux/proxy/placement/outcome-score.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
@@ -44,6 +45,7 @@
   duration open_time = std::chrono::milliseconds(15);
   outcome_score outcomes;
   refusal_trend refusals;  ///< Statements and connections that it refused.
+  load_meter meter;        ///< Of this instance's statements.
   std::optional<instant> last_answer_at;  ///< Any kind of answer.
   unsigned in_flight = 0;                 ///< Links in use.
   team_id last_team;                      ///< Of the newest connection.
