--- a/include/toucanmux/proxy/connections/connection-share.h
+++ b/include/toucanmux/proxy/connections/connection-share.h
@@ -15,6 +15,12 @@
                           std::span<const member_id> members,
                           std::string_view upstream, unsigned max_connections);
 
+/// The connections of a database's limit that instances may plan with.
+unsigned usable_connections(unsigned max_connections);
+
+/// The most connections that a borrowing instance may open to one database.
+unsigned borrowed_limit(unsigned max_connections);
+
 /// The least connections that each of `members` instances may hold to one
 /// database.
 unsigned connection_quotient(unsigned members, unsigned max_connections);
--- a/src/proxy/connections/connection-share.cc
+++ b/src/proxy/connections/connection-share.cc
@@ -19,11 +19,15 @@
 constexpr unsigned borrowed_divisor = 16;
 constexpr unsigned min_borrowed = 2;
 
+}  // namespace
+
 unsigned usable_connections(unsigned max_connections) {
   return max_connections - max_connections / spare_divisor;
 }
 
-}  // namespace
+unsigned borrowed_limit(unsigned max_connections) {
+  return std::max(max_connections / borrowed_divisor, min_borrowed);
+}
 
 unsigned connection_quotient(unsigned members, unsigned max_connections) {
   return usable_connections(max_connections) / std::max(members, 1U);
@@ -56,7 +60,7 @@
   // ranking hundreds of instances for each of hundreds of databases takes
   // long.
   out.share = usable / static_cast<unsigned>(members.size());
-  out.limit = std::max(max_connections / borrowed_divisor, min_borrowed);
+  out.limit = borrowed_limit(max_connections);
   return out;
 }
 
