Relay statements to the instances that own the connections

Cause: a team's statements reach a database through any instance, so a warm connection of the team is rarely found. Change: in a contended deployment an instance listens on the second port of its port range and runs the statements that others relay to it; connection_sharing sends a team's statements for a database to the owner, or directly while the owner is avoided. The member records in the store carry the capacity, so that all instances weigh alike. Measured: relay-test (15 cases), client-session-test, upstream-group-test, wire-test, proxy-settings-test, store-api-test, connection-share-test, peer-directory-test and proxy-process-test pass.

--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -23,6 +23,15 @@
 // A statement with less time left before its deadline can't be answered in
 // time.
 constexpr duration min_answer_time = milliseconds(10);
+// How long a statement may wait for a connection at the instance that relays
+// it. Below the shortest time after which an answer counts as late.
+constexpr duration max_relay_wait = milliseconds(200);
+
+// The end of a link to another instance says nothing about the database, unless
+// that instance has lost its connection to it.
+bool lost_by_database(const upstream_link& link) {
+  return !link.relayed() || link.ended_with_error();
+}
 
 }  // namespace
 
@@ -107,6 +116,8 @@
   team = operation_team_;
   priority = route_.priority;
   waiting_since = statement_.arrived_at;
+  may_wait = std::clamp<duration>((statement_.deadline - state_.loop.now()) / 2,
+                                  duration{0}, max_relay_wait);
   if (!group->may_serve(requirements)) {
     return fail_statement(failure_kind::busy, "no database can serve this now",
                           leader_change_retry_after);
@@ -297,6 +308,9 @@
     case failure_kind::not_leader:
       if (group) group->record_not_leader(link.upstream());
       return retry_or_refuse("the leader changes");
+    case failure_kind::wrong_upstream:
+      if (!link.relayed()) return handle_execution_error(link, kind);
+      return retry_or_refuse("the owner of the connections refuses");
     case failure_kind::unknown_prepared:
       link.forget_prepared();
       return retry_or_refuse("the statement was not prepared");
@@ -349,14 +363,15 @@
   }
   // A statement that requires the leader is retried there over another
   // connection.
-  if (!requirements.leader_only) requirements.excluded |= upstream_bit;
+  bool exclude = !requirements.leader_only && lost_by_database(link);
+  if (exclude) requirements.excluded |= upstream_bit;
   retry_or_refuse("the database's connection was lost");
 }
 
 void client_session::record_lost_link(const upstream_link& link) {
   log_attempt("the database's connection was lost");
   auto* group = state_.find_group(route_.group);
-  if (group) group->record_failure(link.upstream());
+  if (group && lost_by_database(link)) group->record_failure(link.upstream());
 }
 
 // True for a read outside of a transaction and for the first one of a read-only
@@ -367,11 +382,15 @@
 }
 
 void client_session::on_link_silent(upstream_link& link) {
-  if (!running_ || statement_.deferred || !may_rerun() ||
-      requirements.leader_only)
+  // A silent leader has no substitute, but a silent instance that relays to it
+  // has.
+  bool has_substitute = !requirements.leader_only || link.relayed();
+  if (!running_ || statement_.deferred || !may_rerun() || !has_substitute)
     return;
   if (statement_.attempts >= max_attempts || deadline_reached()) return;
-  retry_elsewhere(link, "the database is silent on all connections");
+  retry_elsewhere(link, link.relayed()
+                            ? "the owner of the connections is silent"
+                            : "the database is silent on all connections");
 }
 
 // Retries a read whose answer is late or an error. An answer that still arrives
@@ -415,9 +434,8 @@
     state_.loop.arm(timer_, statement_.deadline);
     if (!state_.read_retries.may_retry(state_.loop.now())) return;
     state_.read_retries.count_retry(state_.loop.now());
-    if (auto* group = state_.find_group(route_.group)) {
-      group->record_failure(link_->upstream());
-    }
+    auto* group = state_.find_group(route_.group);
+    if (group && !link_->relayed()) group->record_failure(link_->upstream());
     return retry_elsewhere(*link_, "no answer within the usual response time");
   }
   if (!statement_.sent) {
--- a/src/proxy/link-request.h
+++ b/src/proxy/link-request.h
@@ -2,6 +2,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <cstdint>
+#include <optional>
 
 #include "proxy/upstream-link.h"
 #include "toucanmux/core.h"
@@ -26,6 +27,11 @@
   const session_values* values = nullptr;
   unsigned priority = 0;  ///< 0 is served first.
   instant waiting_since;
+  /// How long the request may wait at an instance that relays the statement.
+  duration may_wait{0};
+  /// Set for a statement that another instance relays to this one: the only
+  /// database that may be used, over a connection of this instance.
+  std::optional<std::size_t> only_upstream;
 };
 
 }  // namespace toucanmux
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -123,6 +123,26 @@
   expedite_reports();
 }
 
+// The capacity in the store's record is the same for all instances; reports of
+// most peers reach only their hub in a large fleet.
+std::vector<sharing_instance> peer_service::sharing_instances() const {
+  const auto& settings = state_.settings;
+  auto port = settings.relay_address.port;
+  std::vector<sharing_instance> out;
+  if (!state_.stopping) {
+    out.push_back({{settings.self, settings.domain, settings.cpu_millicores},
+                   settings.relay_address});
+  }
+  for (const auto& [id, entry] : peers_.all()) {
+    if (entry.leaving || !peers_.is_alive(state_.loop.now(), entry)) continue;
+    auto capacity =
+        entry.record.capacity ? entry.record.capacity : entry.capacity;
+    out.push_back(
+        {{id, entry.record.domain, capacity}, {entry.record.address.ip, port}});
+  }
+  return out;
+}
+
 void peer_service::remove(const member_id& id) {
   peers_.remove(id);
   state_.rate_limits.remove_peer(id);
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "proxy/connections/connection-sharing.h"
 #include "proxy/peer-directory.h"
 #include "proxy/proxy-state.h"
 #include "proxy/store-api.h"
@@ -42,6 +43,9 @@
   const std::shared_ptr<const std::vector<member_id>>& members() const {
     return members_;
   }
+  /// The live instances that do not leave, this one included, and where they
+  /// accept relayed statements.
+  std::vector<sharing_instance> sharing_instances() const;
   std::size_t member_count() const { return members_->size(); }
   /// The number of peers that this instance knows, alive or not.
   std::size_t known_count() const { return peers_.all().size(); }
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -39,6 +39,7 @@
     : loop_(loop),
       settings_path_(std::move(settings_path)),
       state_(loop, settings),
+      sharing_(loop, state_.log, settings.self, settings.domain),
       peers_(state_,
              {[this] { update_connection_shares(); },
               [this](const auto& update) { store_.apply_update(update); }}),
@@ -69,6 +70,7 @@
   auto sessions = sessions_;
   for (const auto& session : sessions) session->finish();
   sessions.clear();
+  relay_server_.reset();
   loop_.turn(duration{0});
 }
 
@@ -147,10 +149,12 @@
   for (auto& [id, group] : state_.groups) group->tick();
   check_leases();
   update_contention();
+  update_sharing();
   store_.tick();
   leaders_.tick();
   peers_.tick();
   if (state_.stopping) drain_tick();
+  tick_due_ = loop_.now() + tick_interval;
   loop_.arm_in(tick_timer_, tick_interval);
 }
 
@@ -177,6 +181,39 @@
                     {"connections", std::uint64_t{inputs.connection_share}}});
 }
 
+void proxy_process::update_sharing() {
+  bool active = state_.contended && state_.settings.relay_address.port != 0;
+  if (active) {
+    start_relay_server();
+    if (sharing_.set_instances(peers_.sharing_instances()))
+      update_connection_shares();
+  } else if (sharing_.instance_count() > 0) {
+    sharing_.stop();
+  }
+  for (auto& [id, group] : state_.groups)
+    group->set_sharing(active ? &sharing_ : nullptr);
+  sharing_.tick();
+  bool ticked = tick_due_ != instant{};
+  if (relay_server_)
+    relay_server_->tick(ticked ? boot_time() - tick_due_ : duration{0});
+}
+
+// Without the relay address this instance still uses the relays of others. It
+// fails requests to its own, which makes them avoid it.
+void proxy_process::start_relay_server() {
+  if (relay_started_) return;
+  relay_started_ = true;
+  const auto& address = state_.settings.relay_address;
+  try {
+    relay_server_ = std::make_unique<relay_server>(state_, address);
+    state_.log.write(journal_kind::process, "relay_started",
+                     {{"address", to_text(address)}});
+  } catch (const platform_error& e) {
+    state_.log.write(journal_kind::dependency, "no_relay",
+                     {{"reason", e.what()}});
+  }
+}
+
 void proxy_process::check_leases() {
   bool leases_held = state_.leader_leases.valid(loop_.now());
   if (leases_held == leases_held_) return;
@@ -193,8 +230,9 @@
   auto busy_sessions =
       std::count_if(sessions_.begin(), sessions_.end(),
                     [](const auto& s) { return !s->can_close(); });
-  drain_.step(loop_.now(),
-              drain::work{static_cast<std::uint64_t>(busy_sessions)});
+  auto busy = static_cast<std::uint64_t>(busy_sessions);
+  if (relay_server_) busy += relay_server_->busy_sessions();
+  drain_.step(loop_.now(), drain::work{busy});
   for (const auto& action : drain_.step(loop_.now(), drain::tick{})) {
     if (std::holds_alternative<drain::stop_new_work>(action))
       closing_idle_sessions_ = true;
@@ -233,9 +271,34 @@
     opened += static_cast<double>(group->connections_opened());
     refused += static_cast<double>(group->connections_refused());
   }
+  update_sharing_metrics(opened);
   metrics.set("statements_waiting", waiting);
   metrics.set("connections_opened", opened);
   metrics.set("connections_refused", refused);
 }
 
+void proxy_process::update_sharing_metrics(double connections_opened) {
+  auto& metrics = state_.metrics;
+  double evicted = 0;
+  double answered = 0;
+  for (const auto& [id, group] : state_.groups) {
+    evicted += static_cast<double>(group->connections_evicted());
+    answered += static_cast<double>(group->statements_answered());
+  }
+  const auto& counts = sharing_.counts();
+  metrics.set("connections_evicted", evicted);
+  metrics.set("connections_per_statement",
+              connections_opened / std::max(answered, 1.0));
+  metrics.set("relayed_statements", static_cast<double>(counts.statements));
+  metrics.set("relay_refusals", static_cast<double>(counts.refusals));
+  metrics.set("relay_links", static_cast<double>(sharing_.link_count()));
+  metrics.set("owners_avoided", static_cast<double>(sharing_.avoided_count()));
+  if (!relay_server_) return;
+  metrics.set("relay_sessions",
+              static_cast<double>(relay_server_->session_count()));
+  metrics.set("relay_uses", static_cast<double>(relay_server_->uses()));
+  metrics.set("relay_uses_refused",
+              static_cast<double>(relay_server_->refusals()));
+}
+
 }  // namespace toucanmux
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "proxy/client-session.h"
+#include "proxy/connections/connection-sharing.h"
+#include "proxy/connections/relay-server.h"
 #include "proxy/http-port.h"
 #include "proxy/leader-service.h"
 #include "proxy/peer-service.h"
@@ -48,15 +50,22 @@
   void reload();
   void tick();
   void update_contention();
+  void update_sharing();
+  void start_relay_server();
   void check_leases();
   void drain_tick();
   void close_idle_sessions();
   void update_connection_shares();
   void update_metrics();
+  void update_sharing_metrics(double connections_opened);
 
   event_loop& loop_;
   std::string settings_path_;
   proxy_state state_;
+  connection_sharing sharing_;
+  std::unique_ptr<relay_server> relay_server_;
+  bool relay_started_ = false;
+  instant tick_due_;
   peer_service peers_;
   store_sync store_;
   leader_service leaders_;
--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -17,7 +17,10 @@
   inet_address caller_address;     ///< Callers connect here.
   inet_address readiness_address;  ///< For readiness probes of the balancer.
   inet_address peer_address;       ///< Receives datagrams of other instances.
-  std::uint32_t ip = 0;            ///< Of this instance, in host byte order.
+  /// Accepts statements that other instances relay; port 0 if there is none.
+  /// The port is the same on all instances.
+  inet_address relay_address;
+  std::uint32_t ip = 0;  ///< Of this instance, in host byte order.
   inet_address store_address;
   inet_address failover_address;     ///< The service that promotes leaders.
   duration heartbeat_interval{0};    ///< Between heartbeats of a database.
--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -23,6 +23,8 @@
   member_id id;
   domain_id domain;
   inet_address address;
+  /// CPU capacity in thousandths of a core; 0 if unknown.
+  std::uint32_t capacity = 0;
 };
 
 /// One page of the database list.
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -489,7 +489,8 @@
 
 store_api::member_record store_sync::own_record() const {
   const auto& settings = state_.settings;
-  return {settings.self, settings.domain, settings.peer_address};
+  return {settings.self, settings.domain, settings.peer_address,
+          settings.cpu_millicores};
 }
 
 void store_sync::handle_registration(http_result&& result) {
@@ -519,7 +520,8 @@
   const auto& settings = state_.settings;
   return record.id == settings.self &&
          record.address == settings.peer_address &&
-         record.domain == settings.domain;
+         record.domain == settings.domain &&
+         record.capacity == settings.cpu_millicores;
 }
 
 void store_sync::list_members(const std::string& after) {
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "proxy/connections/connection-sharing.h"
 #include "proxy/journal.h"
 #include "proxy/upstream-group.h"
 
@@ -118,7 +119,7 @@
 
 bool upstream_group::borrows_leader_connections() const {
   auto index = expected_leader_index();
-  return index && upstreams_[*index]->allowance.borrows;
+  return index && (sharing_ || upstreams_[*index]->allowance.borrows);
 }
 
 void upstream_group::probe_leader() {
@@ -155,6 +156,10 @@
                                             bool is_leader) {
   instant now = loop_.now();
   auto max_idle = database.link_idle_timeout.value(database.allowance.borrows);
+  bool is_owner =
+      sharing_ && sharing_->owners_of(database.entry, policy_.max_connections)
+                      .contains(self_);
+  if (is_owner) max_idle = connection_sharing::owned_idle_timeout;
   // One link to the leader stays open for the next probe.
   std::size_t kept_links = is_leader && probe_mode_ != probe_mode::none ? 1 : 0;
   bool unused_database =
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "proxy/connections/connection-sharing.h"
 #include "proxy/erase-deferred.h"
 #include "proxy/journal.h"
 #include "toucanmux/hash.h"
@@ -94,6 +95,12 @@
 
 upstream_group::~upstream_group() = default;
 
+void upstream_group::set_sharing(connection_sharing* sharing) {
+  if (sharing == sharing_) return;
+  sharing_ = sharing;
+  for (auto& up : upstreams_) update_allowance(*up);
+}
+
 void upstream_group::set_members(
     std::shared_ptr<const std::vector<member_id>> members) {
   members_ = std::move(members);
@@ -104,8 +111,15 @@
 // The quota is at least one connection, since an instance has to be able to
 // find out which database leads.
 void upstream_group::update_allowance(upstream& database) const {
-  database.allowance = compute_allowance(
-      self_, *members_, database.entry.id.value, policy_.max_connections);
+  const connection_owners* owners =
+      sharing_ ? &sharing_->owners_of(database.entry, policy_.max_connections)
+               : nullptr;
+  if (owners && !owners->empty()) {
+    database.allowance = owners->allowance(self_, sharing_->instance_count());
+  } else {
+    database.allowance = compute_allowance(
+        self_, *members_, database.entry.id.value, policy_.max_connections);
+  }
   database.allowance.limit = std::max(1U, database.allowance.limit);
 }
 
@@ -291,6 +305,21 @@
   return nullptr;
 }
 
+std::optional<std::size_t> upstream_group::index_of(
+    const database_id& id) const {
+  for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+    if (upstreams_[i]->entry.id == id) return i;
+  }
+  return {};
+}
+
+// A draining replica gets no new statements. A draining leader does, until it
+// has a successor.
+bool upstream_group::may_use(std::size_t index) const {
+  const upstream& up = *upstreams_[index];
+  return usable(up) && (!up.draining_since || leader_index() == index);
+}
+
 std::vector<const upstream*> upstream_group::upstreams() const {
   std::vector<const upstream*> out;
   for (const auto& up : upstreams_) out.push_back(up.get());
@@ -367,6 +396,12 @@
   out.response_time = up.response_time;
   out.lagging = loop_.now() < up.lagging_until;
   out.failure_rate = up.outcomes.failure_rate(loop_.now());
+  if (request.only_upstream && *request.only_upstream != index)
+    out.usable = false;
+  if (!uses_relay(index, request)) return out;
+  out.warm = sharing_->has_idle_link(*this, index, request);
+  out.can_open = sharing_->can_open(*this, index, request);
+  out.in_flight += sharing_->in_flight(*this, index);
   return out;
 }
 
@@ -404,6 +439,8 @@
   }
   auto chosen = choose_upstream(candidates, request.requirements);
   if (!chosen) return nullptr;
+  if (uses_relay(*chosen, request))
+    return sharing_->acquire(*this, *chosen, request);
   if (!candidates[*chosen].warm) {
     make_room_or_open(*chosen, request);
     return nullptr;
@@ -413,6 +450,13 @@
   return link;
 }
 
+// A statement that another instance relays is never relayed again.
+bool upstream_group::uses_relay(std::size_t index,
+                                const link_request& request) const {
+  return sharing_ && !request.only_upstream &&
+         sharing_->uses_relay(*this, index, request.team);
+}
+
 bool upstream_group::is_opening(std::size_t index, const team_id& team) const {
   const auto& links = upstreams_[index]->links;
   return std::any_of(links.begin(), links.end(), [&](const auto& link) {
@@ -435,8 +479,10 @@
       });
   // The database counts a connection until it has processed the close.
   if (is_closing) return;
-  if (upstream_link* oldest = oldest_idle_link(up))
-    oldest->retire(retire_timeout);
+  upstream_link* oldest = oldest_idle_link(up);
+  if (!oldest) return;
+  ++connections_evicted_;
+  oldest->retire(retire_timeout);
 }
 
 bool upstream_group::open_link(std::size_t index, const team_id& team) {
@@ -585,6 +631,29 @@
   schedule_serve();
 }
 
+void upstream_group::record_statement(upstream& database, bool is_leader,
+                                      const link_answer& answer) {
+  if (!answer.ok) return;
+  instant now = loop_.now();
+  database.outcomes.record(now, false);
+  if (!is_leader && now >= database.lagging_until) database.lagging_count = 0;
+  auto response_time = now - answer.sent_at;
+  database.response_time += std::chrono::duration_cast<duration>(
+      (response_time - database.response_time) * response_weight);
+}
+
+void upstream_group::record_relayed_answer(const upstream_link& link,
+                                           const link_answer& answer) {
+  upstream& up = *upstreams_[link.upstream()];
+  if (answer.position) up.term = std::max(up.term, answer.position->term);
+  if (answer.purpose == link_purpose::statement) {
+    record_statement(up, leader_index() == link.upstream(), answer);
+  }
+  bool denied = answer.purpose == link_purpose::begin && !answer.ok &&
+                answer.error == wire::failure_kind::not_leader;
+  if (denied) record_not_leader(link.upstream());
+}
+
 void upstream_group::on_link_answer(upstream_link& link,
                                     const link_answer& answer) {
   instant now = loop_.now();
@@ -593,12 +662,9 @@
   if (expected_leader_index() == link.upstream()) watch_.leader_answered(now);
   bool is_leader = leader_index() == link.upstream();
   if (answer.position) up.term = std::max(up.term, answer.position->term);
-  if (answer.purpose == link_purpose::statement && answer.ok) {
-    up.outcomes.record(now, false);
-    if (!is_leader && now >= up.lagging_until) up.lagging_count = 0;
-    auto response_time = now - answer.sent_at;
-    up.response_time += std::chrono::duration_cast<duration>(
-        (response_time - up.response_time) * response_weight);
+  if (answer.purpose == link_purpose::statement) {
+    ++statements_answered_;
+    record_statement(up, is_leader, answer);
   }
   bool checks_leadership = answer.purpose == link_purpose::begin ||
                            answer.purpose == link_purpose::probe;
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -18,6 +18,7 @@
 
 namespace toucanmux {
 
+class connection_sharing;
 class journal;
 
 /// The databases of one group, this instance's connections to them, and the
@@ -42,6 +43,9 @@
   std::uint32_t hash() const { return hash_; }
 
   void set_policy(const group_policy& policy) { policy_ = policy; }
+  unsigned max_connections() const { return policy_.max_connections; }
+  /// Shares connections with other instances; null ends that.
+  void set_sharing(connection_sharing* sharing);
   void set_members(std::shared_ptr<const std::vector<member_id>> members);
   /// Adds a database or updates its discovery entry.
   /// @param changed_after no later than the entry's last change in the store;
@@ -79,6 +83,9 @@
   /// replaced.
   const leader_record* record() const { return leases_.find(hash_); }
   const upstream* find(const database_id& id) const;
+  std::optional<std::size_t> index_of(const database_id& id) const;
+  /// Whether new statements may be sent to the database.
+  bool may_use(std::size_t index) const;
   const upstream& at(std::size_t index) const { return *upstreams_[index]; }
   std::vector<const upstream*> upstreams() const;
   bool leader_is_draining() const;
@@ -98,6 +105,10 @@
   void apply_sample(instant sent_at, const log_position& position);
   const position_samples& samples() const { return samples_; }
   leader_watch& watch() { return watch_; }
+  /// Updates the view of the database by an answer that another instance
+  /// relayed. Suspension, probes and position samples do not use it.
+  void record_relayed_answer(const upstream_link& link,
+                             const link_answer& answer);
   /// How long to wait for an answer of the database before it counts as late.
   duration answer_timeout(std::size_t index) const;
   /// Keeps the samples of the leader's position recent for the next 3 s.
@@ -125,6 +136,12 @@
   void tick();
   std::uint64_t connections_opened() const { return connections_opened_; }
   std::uint64_t connections_refused() const { return connections_refused_; }
+  /// Idle connections that were closed for one of another team.
+  std::uint64_t connections_evicted() const { return connections_evicted_; }
+  /// Statements that were answered over connections of this instance.
+  std::uint64_t statements_answered() const { return statements_answered_; }
+  /// Serves the queue at the end of the turn.
+  void schedule_serve();
 
   void on_link_ready(upstream_link& link) override;
   void on_link_idle(upstream_link& link) override;
@@ -177,7 +194,9 @@
   void close_surplus_links();
   void close_surplus_links_to(upstream& database, bool is_leader);
   void abort_removed();
-  void schedule_serve();
+  bool uses_relay(std::size_t index, const link_request& request) const;
+  void record_statement(upstream& database, bool is_leader,
+                        const link_answer& answer);
 
   event_loop& loop_;
   journal& log_;
@@ -205,6 +224,9 @@
   std::vector<std::unique_ptr<control_request>> control_requests_;
   std::uint64_t connections_opened_ = 0;
   std::uint64_t connections_refused_ = 0;
+  std::uint64_t connections_evicted_ = 0;
+  std::uint64_t statements_answered_ = 0;
+  connection_sharing* sharing_ = nullptr;
 };
 
 }  // namespace toucanmux
--- a/src/proxy/upstream-link.cc
+++ b/src/proxy/upstream-link.cc
@@ -8,6 +8,16 @@
   return stream_.connect(entry.address);
 }
 
+bool upstream_link::connect_relay(const upstream_entry& entry,
+                                  const inet_address& relay, unsigned priority,
+                                  duration may_wait, duration timeout) {
+  relayed_ = true;
+  wire::write_relay_connect(connect_line_, entry.group, team_.value, entry.id,
+                            priority, may_wait);
+  loop_.arm_in(timeout_timer_, timeout);
+  return stream_.connect(relay);
+}
+
 std::optional<instant> upstream_link::oldest_unanswered_at() const {
   if (expected_answers_.empty()) return {};
   return expected_answers_.front().sent_at;
@@ -106,6 +116,7 @@
 
 void upstream_link::abort() {
   if (state_ == state::ended) return;
+  aborted_ = true;
   stream_.close();
   end();
 }
--- a/src/proxy/upstream-link.h
+++ b/src/proxy/upstream-link.h
@@ -66,7 +66,13 @@
   /// Starts to connect; aborts if that takes longer than `timeout`.
   /// @return false if the attempt could not be started.
   bool connect(const upstream_entry& entry, duration timeout);
+  /// Starts to connect to an instance that relays statements to the database.
+  /// @param may_wait the time that a statement may wait for a connection there.
+  bool connect_relay(const upstream_entry& entry, const inet_address& relay,
+                     unsigned priority, duration may_wait, duration timeout);
 
+  /// True if another instance relays the statements to the database.
+  bool relayed() const { return relayed_; }
   std::size_t upstream() const { return upstream_; }
   const team_id& team() const { return team_; }
   state current_state() const { return state_; }
@@ -79,6 +85,13 @@
   /// When the oldest statement without an answer was sent, if there is one.
   std::optional<instant> oldest_unanswered_at() const;
   const session_values& values() const { return values_; }
+  /// True if this instance closed the connection by `abort`.
+  bool aborted() const { return aborted_; }
+  /// True if the connection ended after an error that completes no answer: an
+  /// instance that relays statements has lost its connection to the database.
+  bool ended_with_error() const {
+    return state_ == state::ended && error_.has_value();
+  }
   /// Why the database refused the connection, if it did.
   std::optional<wire::failure_kind> refusal() const { return refusal_; }
 
@@ -141,6 +154,8 @@
   timer timeout_timer_;
   state state_ = state::connecting;
   link_user* user_ = nullptr;
+  bool relayed_ = false;
+  bool aborted_ = false;
   bool delivering_answer_ = false;
   wire::transaction_state transaction_state_ = wire::transaction_state::idle;
   instant idle_since_;
--- a/src/proxy/wire.h
+++ b/src/proxy/wire.h
@@ -45,6 +45,24 @@
 using caller_line =
     std::variant<open_session, session_statement, end_session, bad_line>;
 
+/// Opens a connection over which another instance relays statements.
+struct open_relay {
+  std::string_view group;
+  std::string_view team;
+  std::string_view database;
+  unsigned priority = 0;
+  duration may_wait{0};  ///< For a connection to the database.
+};
+/// A statement that another instance relays.
+struct relayed_statement {
+  session_statement statement;
+  /// The position that the database must have reached.
+  std::optional<log_position> after;
+  bool is_reset = false;  ///< Removes all values and prepared statements.
+};
+using relay_line =
+    std::variant<open_relay, relayed_statement, end_session, bad_line>;
+
 struct ready {
   transaction_state state = transaction_state::idle;
   std::optional<log_position> position;
@@ -59,6 +77,7 @@
 /// Parses one line, given without its line end.
 caller_line parse_caller_line(std::string_view line);
 upstream_line parse_upstream_line(std::string_view line);
+relay_line parse_relay_line(std::string_view line);
 
 /// The status that a database reports in the rows of its answer.
 struct upstream_status {
@@ -81,6 +100,11 @@
 // program itself, with the id `-`.
 void write_connect(std::string& out, const group_id& group,
                    std::string_view team, const database_id& expected);
+/// Opens a connection to an instance that relays statements to the database.
+/// @param may_wait the time that a statement may wait for a connection there.
+void write_relay_connect(std::string& out, const group_id& group,
+                         std::string_view team, const database_id& expected,
+                         unsigned priority, duration may_wait);
 void write_quit(std::string& out);
 /// @param after the log position that the upstream must have reached, if any.
 void write_statement(std::string& out, std::string_view id,
--- /dev/null
+++ b/test/relay-test.cc
@@ -0,0 +1,339 @@
+#define BOOST_TEST_MODULE relay
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "proxy/connections/connection-sharing.h"
+#include "proxy/connections/relay-server.h"
+#include "standin/proxy/loopback.h"
+#include "standin/proxy/session-fixture.h"
+
+using namespace toucanmux;
+using namespace toucanmux::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool starts_with(const std::string& text, const std::string& prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+std::size_t count(const std::vector<std::string>& lines,
+                  const std::string& part) {
+  return static_cast<std::size_t>(std::count_if(
+      lines.begin(), lines.end(),
+      [&](const auto& line) { return line.find(part) != std::string::npos; }));
+}
+
+proxy_settings owner_settings() {
+  proxy_settings out;
+  out.self = member_id("edge-2");
+  out.domain = domain_id("a");
+  return out;
+}
+
+// Long, so that a busy test machine does not turn a slow answer into a failure.
+connection_sharing::settings sharing_settings() {
+  connection_sharing::settings out;
+  out.near_connect_timeout = 5s;
+  return out;
+}
+
+/// Sessions of an instance that relays their statements to a second instance,
+/// the owner of all connections.
+struct relay_fixture : session_fixture {
+  relay_fixture()
+      : owner(loop, owner_settings()),
+        sharing(loop, state.log, state.settings.self, domain_id("a"),
+                sharing_settings()) {
+    auto& created = owner.groups[group().id()];
+    created = std::make_unique<upstream_group>(
+        loop, owner.log, group().id(), owner.settings.self, domain_id("a"),
+        owner.leader_leases, 1200ms, 7s);
+    created->set_policy({group().id(), 48, 0});
+    for (const auto* database : {&first, &second, &third})
+      created->set_entry(database->entry());
+    owner.config = state.config;
+    owner.contended = true;
+    owner.leader_leases.mark_registered(loop.now());
+    owner.leader_leases.apply_records(loop.now(), loop.now(), {});
+    server = std::make_unique<relay_server>(owner, inet_address{loopback, 0});
+    use_owner(server->address());
+  }
+
+  /// Makes the instance at the address the owner of all connections.
+  void use_owner(const inet_address& address) {
+    const domain_id domain("a");
+    sharing.set_instances({{{state.settings.self, domain, 100}, {}},
+                           {{owner.settings.self, domain, 100}, address}});
+    group().set_sharing(&sharing);
+  }
+  upstream_group& owner_group() { return *owner.groups.begin()->second; }
+  void tick() {
+    group().tick();
+    owner_group().tick();
+    sharing.tick();
+  }
+  /// Waits for an answer while both instances do their periodic work.
+  std::string answer_of(line_client& caller) {
+    while (!caller.has_received() && !caller.closed()) {
+      tick();
+      loop.turn(20ms);
+    }
+    return caller.read_answer();
+  }
+  template <class Condition>
+  void run_until(Condition condition) {
+    while (!condition()) {
+      tick();
+      loop.turn(20ms);
+    }
+  }
+  /// Whether connections were opened by the sender itself.
+  bool sender_connected() { return group().connections_opened() > 0; }
+
+  proxy_state owner;
+  connection_sharing sharing;
+  std::unique_ptr<relay_server> server;
+};
+
+/// An instance that accepts links and answers no statement.
+class frozen_owner final : public stream_owner {
+ public:
+  explicit frozen_owner(event_loop& loop)
+      : loop_(loop), listener(loop, {loopback, 0}, [this](int descriptor) {
+          streams_.push_back(std::make_unique<tcp_stream>(loop_, *this));
+          streams_.back()->adopt(descriptor);
+          streams_.back()->send("READY I -\r\n");
+        }) {}
+  void on_input() override {}
+  void on_closed() override {}
+
+ private:
+  event_loop& loop_;
+  std::vector<std::unique_ptr<tcp_stream>> streams_;
+
+ public:
+  tcp_listener listener;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(relays, relay_fixture)
+
+BOOST_AUTO_TEST_CASE(statements_of_a_team_reuse_the_owners_connection) {
+  auto caller = connect("orders");
+  BOOST_TEST(caller->request("QUERY 7a FETCH 1a4") ==
+             "ROW values|DONE sig.i-1|READY I 1.100");
+  BOOST_TEST(caller->request("QUERY 7b PUT 1a4 x") ==
+             "ROW values|DONE sig.i-1|READY I 1.101");
+  auto other = connect("orders");
+  BOOST_TEST(starts_with(other->request("QUERY 7c FETCH 1a4"), "ROW"));
+  BOOST_TEST(count(first.received_lines(), "CONNECT") == 1U);
+  BOOST_TEST(!sender_connected());
+  BOOST_TEST(sharing.counts().statements == 3U);
+  // A read of a replica carries the required position.
+  auto occupier = connect("orders");
+  occupier->request("QUERY 8 BEGIN");
+  occupier->request("QUERY 9 FETCH 1a4");
+  group().apply_sample(loop.now(), {1, 101});
+  BOOST_TEST(starts_with(connect("stock")->request("QUERY 10 FETCH 1"), "ROW"));
+}
+
+BOOST_AUTO_TEST_CASE(values_and_prepared_names_follow_the_session) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 SET zone b");
+  caller->request("QUERY 2 PREPARE mine FETCH x");
+  BOOST_TEST(starts_with(caller->request("QUERY 3 EXEC mine 1"),
+                         "ROW values zone=b|"));
+  auto other = connect("orders");
+  BOOST_TEST(starts_with(other->request("QUERY 4 FETCH 1"), "ROW values|"));
+  BOOST_TEST(starts_with(caller->request("QUERY 5 EXEC mine 1"),
+                         "ROW values zone=b|"));
+  BOOST_TEST(!sender_connected());
+}
+
+// Guards against interleaving the statements of two transactions.
+BOOST_AUTO_TEST_CASE(a_transaction_has_its_own_connection) {
+  auto one = connect("orders");
+  auto other = connect("orders");
+  one->request("QUERY 1 BEGIN");
+  other->request("QUERY 2 BEGIN");
+  one->request("QUERY 3 PUT a 1");
+  other->request("QUERY 4 PUT a 2");
+  BOOST_TEST(starts_with(one->request("QUERY 5 COMMIT"), "DONE"));
+  other->request("QUERY 6 ROLLBACK");
+  run_until([&] { return server->busy_sessions() == 0; });
+  BOOST_TEST(count(first.received_lines(), "1 QUERY 3") == 1U);
+  BOOST_TEST(count(first.received_lines(), "2 QUERY 4") == 1U);
+  BOOST_TEST(first.log_end == 101U);
+}
+
+BOOST_AUTO_TEST_CASE(a_read_runs_directly_when_its_owner_ends) {
+  auto caller = connect("orders");
+  first.defer_answers = true;
+  caller->send("QUERY 1 FETCH 1a4");
+  run_until([&] { return count(first.received_lines(), "QUERY 1 ") > 0; });
+  server.reset();
+  first.defer_answers = false;
+  BOOST_TEST(starts_with(answer_of(*caller), "ROW"));
+  BOOST_TEST(sender_connected());
+}
+
+// Guards against running a write twice.
+BOOST_AUTO_TEST_CASE(a_write_has_an_unknown_outcome_when_its_owner_ends) {
+  auto caller = connect("orders");
+  caller->request("QUERY 0 FETCH 1a4");
+  first.answers_to_lose = 1;
+  caller->send("QUERY 1 PUT 1a4 x");
+  run_until([&] { return count(first.executed(), "1 PUT") > 0; });
+  server.reset();
+  BOOST_TEST(starts_with(answer_of(*caller), "ERR UNKNOWN"));
+  BOOST_TEST(starts_with(caller->request("QUERY 2 PUT 1a4 y"), "ROW"));
+  BOOST_TEST(count(first.executed(), "1 PUT") == 1U);
+}
+
+// Guards against suspecting a database because of an instance.
+BOOST_AUTO_TEST_CASE(an_owner_that_freezes_does_not_make_databases_suspected) {
+  frozen_owner frozen(loop);
+  use_owner(frozen.listener.address());
+  auto caller = connect("orders");
+  auto writer = connect("orders");
+  writer->send("QUERY 1 PUT 1a4 x");
+  BOOST_TEST(starts_with(answer_of(*writer), "ERR UNKNOWN"));
+  caller->send("QUERY 2 FETCH 1a4");
+  BOOST_TEST(starts_with(answer_of(*caller), "ROW"));
+  BOOST_TEST(first.executed().size() == 1U);
+  BOOST_TEST(sharing.avoided_count() == 1U);
+  BOOST_TEST(!group().at(0).suspended);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_is_silent_on_connect_is_bypassed) {
+  line_database silent(loop, "-", "-");
+  silent.silent = true;
+  connection_sharing impatient(loop, state.log, state.settings.self,
+                               domain_id("a"));
+  impatient.set_instances(
+      {{{owner.settings.self, domain_id("a"), 100}, silent.entry().address}});
+  group().set_sharing(&impatient);
+  BOOST_TEST(starts_with(connect("orders")->request("QUERY 1 PUT 1 x"), "ROW"));
+  BOOST_TEST(first.executed().size() == 1U);
+  BOOST_TEST(impatient.avoided_count() == 1U);
+  BOOST_TEST(!group().at(0).suspended);
+  group().set_sharing(&sharing);
+}
+
+// Guards against a transaction that keeps its locks and its connection.
+BOOST_AUTO_TEST_CASE(a_transaction_ends_with_its_sender) {
+  line_client sender(loop, server->address());
+  sender.request("CONNECT ledger glaziers i-1 1 200");
+  sender.request("QUERY - BEGIN");
+  sender.request("QUERY 1 PUT 1a4 x");
+  BOOST_TEST(first.connections() == 1U);
+  sender.close();
+  run_until([&] { return first.connections() == 0; });
+  BOOST_TEST(server->session_count() == 0U);
+  BOOST_TEST(first.log_end == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_leaves_finishes_open_transactions) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 BEGIN");
+  caller->request("QUERY 2 PUT 1a4 x");
+  owner.stopping = true;
+  BOOST_TEST(server->busy_sessions() == 1U);
+  BOOST_TEST(starts_with(caller->request("QUERY 3 COMMIT"), "DONE"));
+  BOOST_TEST(!sender_connected());
+  // Over the open link.
+  BOOST_TEST(starts_with(caller->request("QUERY 4 PUT 1a4 y"), "ROW"));
+  BOOST_TEST(sender_connected());
+  BOOST_TEST(first.log_end == 102U);
+  line_client late(loop, server->address());
+  BOOST_TEST(starts_with(late.request("CONNECT ledger glaziers i-1 1 200"),
+                         "ERR MOVED"));
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_owner_refuses_new_uses) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 FETCH 1a4");
+  server->tick(60ms);
+  line_client other(loop, server->address());
+  BOOST_TEST(starts_with(other.request("CONNECT ledger glaziers i-1 1 200"),
+                         "ERR BUSY"));
+  BOOST_TEST(starts_with(caller->request("QUERY 2 PUT 1a4 x"), "ROW"));
+  BOOST_TEST(sender_connected());
+  BOOST_TEST(sharing.avoided_count() == 1U);
+}
+
+// Guards against relaying in a circle while instances see different members.
+BOOST_AUTO_TEST_CASE(an_instance_that_sees_another_owner_serves_relays_itself) {
+  connection_sharing other_view(loop, owner.log, owner.settings.self,
+                                domain_id("a"));
+  other_view.set_instances(
+      {{{state.settings.self, domain_id("a"), 100}, free_address(loop)}});
+  owner_group().set_sharing(&other_view);
+  auto caller = connect("orders");
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
+  BOOST_TEST(first.executed().size() == 1U);
+  BOOST_TEST(other_view.link_count() == 0U);
+  owner_group().set_sharing(nullptr);
+}
+
+// Guards against a refusal that says "not run" for a write that runs later.
+BOOST_AUTO_TEST_CASE(a_write_that_waits_too_long_at_the_owner_is_not_run) {
+  first.connection_limit = 0;
+  auto caller = connect("orders");
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ERR BUSY"));
+  first.connection_limit = 100;
+  // The owner opens no connection for 250 ms after the database refused one.
+  run_until([&] { return loop.now() >= owner_group().at(0).full_until; });
+  BOOST_TEST(starts_with(caller->request("QUERY 2 FETCH 1a4"), "ROW"));
+  BOOST_TEST(count(first.executed(), "1 PUT") == 0U);
+}
+
+// Part 0 is checked at both instances: the sender has not learned of the drain.
+BOOST_AUTO_TEST_CASE(an_owner_sends_nothing_to_a_draining_replica) {
+  auto draining = second.entry();
+  draining.draining = true;
+  draining.version.revision = 11;
+  owner_group().set_entry(draining);
+  line_client sender(loop, server->address());
+  sender.request("CONNECT ledger glaziers i-2 1 200");
+  BOOST_TEST(starts_with(sender.request("QUERY 1 FETCH 1"), "ERR BUSY"));
+  BOOST_TEST(second.received_lines().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_database_connection_does_not_discredit_the_owner) {
+  auto caller = connect("orders");
+  caller->request("QUERY 0 FETCH 1a4");
+  first.answers_to_truncate = 1;
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ERR UNKNOWN"));
+  BOOST_TEST(sharing.avoided_count() == 0U);
+  BOOST_TEST(starts_with(caller->request("QUERY 2 FETCH 1a4"), "ROW"));
+  BOOST_TEST(!sender_connected());
+}
+
+// An invalid line ends its session only.
+BOOST_AUTO_TEST_CASE(hostile_bytes_end_only_their_session) {
+  std::mt19937 random(7);
+  const std::vector<std::string> words{
+      "CONNECT", "ledger", "glaziers", "i-1",   "1",      "99999999999999999",
+      "QUERY",   "-",      "AFTER",    "1.100", "BEGIN",  "STATUS",
+      "PAUSE",   "RESET",  "EXEC",     "",      "\x01\r", "ROLLBACK"};
+  for (int i = 0; i < 200; ++i) {
+    line_client attacker(loop, server->address());
+    if (i % 2 == 0) attacker.send("CONNECT ledger glaziers i-1 1 200");
+    std::string line;
+    for (auto length = random() % 6; length > 0; --length)
+      line += words[random() % words.size()] + ' ';
+    attacker.send(line);
+    attacker.send("QUERY 1 STEPDOWN 1");
+    while (!attacker.closed()) loop.turn(20ms);
+  }
+  BOOST_TEST(first.is_primary);
+  auto caller = connect("orders");
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
+  BOOST_TEST(server->session_count() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
