Avoid a silent owner only for the database of the late statement

Cause: a slow database made senders avoid its owners for all databases. The candidates of a statement ask for the owner's offer once. Measured: relay-test, client-session-test and proxy-settings-test pass.

--- a/src/proxy/connections/connection-sharing.cc
+++ b/src/proxy/connections/connection-sharing.cc
@@ -102,11 +102,16 @@
   return best;
 }
 
-bool connection_sharing::has_idle_link(const upstream_group& group,
-                                       std::size_t index,
-                                       const link_request& request) {
+std::optional<relay_offer> connection_sharing::offer(
+    const upstream_group& group, std::size_t index,
+    const link_request& request) {
   const auto* owner = relay_for(group, index, request.team);
-  return owner && idle_link(group, index, request, *owner);
+  if (!owner) return {};
+  relay_offer out;
+  out.has_idle_link = idle_link(group, index, request, *owner) != nullptr;
+  out.can_open = out.has_idle_link || can_open(group, index, request);
+  out.in_flight = in_flight(group, index);
+  return out;
 }
 
 bool connection_sharing::can_open(const upstream_group& group,
@@ -158,6 +163,14 @@
   return true;
 }
 
+void connection_sharing::retire_idle_links(const member_id& owner) {
+  auto links = links_;
+  for (const auto& one : links) {
+    if (one.owner == owner && one.link->idle())
+      one.link->retire(retire_timeout);
+  }
+}
+
 void connection_sharing::open(upstream_group& group, std::size_t index,
                               const link_request& request,
                               const sharing_instance& owner) {
@@ -204,8 +217,9 @@
 }
 
 // An owner is silent if an answer is late and nothing has arrived from it since
-// the statement was sent. A silent owner is only avoided: whether its database
-// answers is found out over a direct connection.
+// the statement was sent. Either the owner or its database does not answer, so
+// the owner is avoided for this database only; new links show whether it is
+// the owner. A direct connection shows whether the database answers.
 void connection_sharing::check_silence(const owner_link& checked) {
   instant now = loop_.now();
   auto sent_at = checked.link->oldest_unanswered_at();
@@ -217,7 +231,8 @@
   auto heard = last_answers_.find(checked.owner);
   bool heard_since = heard != last_answers_.end() && heard->second >= *sent_at;
   if (now - *sent_at < timeout || heard_since) return;
-  avoid(checked.owner, {}, "no answer in time");
+  avoid(checked.owner, checked.database, "no answer in time");
+  retire_idle_links(checked.owner);
   if (auto* user = checked.link->user()) user->on_link_silent(*checked.link);
 }
 
--- a/src/proxy/connections/connection-sharing.h
+++ b/src/proxy/connections/connection-sharing.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "proxy/upstream-link.h"
@@ -22,6 +23,14 @@
   bool operator==(const sharing_instance&) const = default;
 };
 
+/// What the owner of a database's connections offers a statement.
+struct relay_offer {
+  bool has_idle_link = false;
+  /// A link may be opened, possibly after closing an idle one.
+  bool can_open = false;
+  unsigned in_flight = 0;  ///< Links in use for the database.
+};
+
 /// This instance's part in sharing connections with the others: which instance
 /// owns the connections of a team to a database, and the links over which
 /// statements are sent to the owners. Groups keep these links apart from their
@@ -72,17 +81,14 @@
   /// False if this instance is the owner, or while the owner is avoided.
   bool uses_relay(const upstream_group& group, std::size_t index,
                   const team_id& team);
-  bool has_idle_link(const upstream_group& group, std::size_t index,
-                     const link_request& request);
-  /// Whether a link may be opened, possibly after closing an idle one.
-  bool can_open(const upstream_group& group, std::size_t index,
-                const link_request& request) const;
+  /// What the owner offers a request; nothing if it is not sent to an owner.
+  std::optional<relay_offer> offer(const upstream_group& group,
+                                   std::size_t index,
+                                   const link_request& request);
   /// Returns an idle link to the owner, or null. In that case a link may have
   /// been started; the group is notified when it is ready.
   upstream_link* acquire(upstream_group& group, std::size_t index,
                          const link_request& request);
-  /// The number of links in use for one database.
-  unsigned in_flight(const upstream_group& group, std::size_t index) const;
   std::size_t link_count() const { return links_.size(); }
 
   /// Called a few times a second for silent owners and idle links.
@@ -116,6 +122,10 @@
   };
 
   const sharing_instance* find(const member_id& id) const;
+  bool can_open(const upstream_group& group, std::size_t index,
+                const link_request& request) const;
+  /// The number of links in use for one database.
+  unsigned in_flight(const upstream_group& group, std::size_t index) const;
   const sharing_instance* relay_for(const upstream_group& group,
                                     std::size_t index, const team_id& team);
   bool matches(const owner_link& candidate, const upstream_group& group,
@@ -125,6 +135,7 @@
                         const sharing_instance& owner);
   owner_link* find(const upstream_link& link);
   bool retire_oldest_idle();
+  void retire_idle_links(const member_id& owner);
   void open(upstream_group& group, std::size_t index,
             const link_request& request, const sharing_instance& owner);
   void avoid(const member_id& owner, const database_id& database,
--- a/src/proxy/connections/relay-session.cc
+++ b/src/proxy/connections/relay-session.cc
@@ -119,8 +119,10 @@
 // An instance that is slow refuses uses of open links like one that leaves, so
 // that the sender uses another connection at once.
 std::optional<relay_session::refusal> relay_session::check_use() {
-  if (state_.stopping || !state_.contended)
+  if (state_.stopping)
     return refusal{failure_kind::wrong_upstream, "this instance leaves"};
+  if (!state_.contended)
+    return refusal{failure_kind::wrong_upstream, "connections are not shared"};
   if (server_.is_late())
     return refusal{failure_kind::wrong_upstream, "this instance is slow"};
   return {};
@@ -277,6 +279,8 @@
     link.forget_prepared();
   if (!answer.ok && answer.error == failure_kind::not_leader && group)
     group->record_not_leader(link.upstream());
+  if (!answer.ok && answer.error == failure_kind::busy && group)
+    group->record_failure(link.upstream());
   stream_.output().append(answer.rows).append(answer.end_line);
   wire::write_ready(stream_.output(), answer.state, answer.position);
   stream_.schedule_flush();
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -398,10 +398,12 @@
   out.failure_rate = up.outcomes.failure_rate(loop_.now());
   if (request.only_upstream && *request.only_upstream != index)
     out.usable = false;
-  if (!uses_relay(index, request)) return out;
-  out.warm = sharing_->has_idle_link(*this, index, request);
-  out.can_open = sharing_->can_open(*this, index, request);
-  out.in_flight += sharing_->in_flight(*this, index);
+  if (!sharing_ || request.only_upstream) return out;
+  auto relay = sharing_->offer(*this, index, request);
+  if (!relay) return out;
+  out.warm = relay->has_idle_link;
+  out.can_open = relay->can_open;
+  out.in_flight += relay->in_flight;
   return out;
 }
 
--- a/test/proxy-settings-test.cc
+++ b/test/proxy-settings-test.cc
@@ -72,6 +72,7 @@
   BOOST_TEST(settings.self.value == "edge-norte-1");
   BOOST_TEST(settings.domain.value == "norte");
   BOOST_TEST(to_text(settings.peer_address) == "10.1.0.26:7560");
+  BOOST_TEST(to_text(settings.relay_address) == "10.1.0.26:7561");
   BOOST_TEST((settings.heartbeat_interval == 900ms));
   BOOST_TEST((settings.revocation_timeout == 4s));
   // Omitted settings get the strictest known values.
@@ -79,6 +80,14 @@
   BOOST_TEST(settings.cpu_millicores == 1000U);
 }
 
+// Guards against listening on a port that belongs to another program.
+BOOST_AUTO_TEST_CASE(a_range_of_one_port_has_no_relay_address) {
+  auto text = valid_settings;
+  text.replace(text.find("7575"), 4, "7560");
+  temporary_file file(text);
+  BOOST_TEST(read_proxy_settings(file.path()).relay_address.port == 0);
+}
+
 BOOST_AUTO_TEST_CASE(the_cpu_quota_is_read_in_thousandths_of_a_core) {
   temporary_file file(valid_settings + "[limits]\ncpu_quota = 0.084\n");
   BOOST_TEST(read_proxy_settings(file.path()).cpu_millicores == 84U);
