--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -270,6 +270,57 @@
   BOOST_TEST(store.failovers()[0].find("i-1") == std::string::npos);
 }
 
+/// The connections of the database on which a statement arrived.
+std::string connection_of(const line_database& database,
+                          const std::string& statement) {
+  for (const auto& line : database.received_lines()) {
+    auto id_at = line.find(" QUERY " + statement + ' ');
+    if (id_at != std::string::npos) return line.substr(0, id_at);
+  }
+  return "none";
+}
+
+// Guards the wiring from the settings to the relay: two contended instances use
+// one connection for a team, and one that loses the other serves alone.
+BOOST_AUTO_TEST_CASE(contended_instances_share_the_connection_of_a_team) {
+  process.reset();
+  settings.pressure = true;
+  settings.cpu_millicores = 100;
+  settings.relay_address = free_address(loop);
+  process = std::make_unique<proxy_process>(loop, settings, "");
+  process->start();
+  // Instances of a deployment differ by their address, not by their ports.
+  instance other;
+  other.settings = settings;
+  other.settings.self = member_id("edge-2");
+  other.settings.ip = other.settings.peer_address.ip =
+      other.settings.relay_address.ip = loopback + 1;
+  other.settings.caller_address = free_address(loop);
+  other.settings.readiness_address = free_address(loop);
+  other.process = std::make_unique<proxy_process>(loop, other.settings, "");
+  other.process->start();
+  run_until([&] { return ready() && ready(other); });
+  auto caller = connect();
+  line_client other_caller(loop, other.settings.caller_address);
+  other_caller.request("CONNECT orders key-1");
+  int number = 0;
+  auto share_a_connection = [&] {
+    auto one = std::to_string(++number);
+    auto two = std::to_string(++number);
+    caller->request("QUERY " + one + " PUT 1 x");
+    other_caller.request("QUERY " + two + " PUT 1 x");
+    return connection_of(first, one) == connection_of(first, two);
+  };
+  run_until([&] {
+    loop.turn(20ms);
+    return share_a_connection();
+  });
+  for (int i = 0; i < 5; ++i) BOOST_TEST(share_a_connection());
+  other.process.reset();
+  BOOST_TEST(starts_with(caller->request("QUERY 9a FETCH 1"), "ROW"));
+  BOOST_TEST(starts_with(caller->request("QUERY 9b PUT 1 x"), "ROW"));
+}
+
 BOOST_AUTO_TEST_CASE(random_bytes_on_every_port_disturb_no_caller) {
   run_until([&] { return ready(); });
   auto caller = connect();
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -139,6 +139,14 @@
   BOOST_TEST(!found->events[2].readable);
 }
 
+// Guards against instances that weigh owners by different capacities.
+BOOST_AUTO_TEST_CASE(a_member_record_keeps_the_capacity) {
+  store_api::member_record record{
+      member_id("edge-1"), domain_id("a"), {0x7f000001, 7560}, 84};
+  auto body = store_api::create_member(record).body;
+  BOOST_TEST(store_api::parse_member(body)->capacity == 84U);
+}
+
 BOOST_AUTO_TEST_CASE(duty_write_is_conditional_on_revision) {
   write_duty request{group_id("ledger"),
                      8,
