--- a/src/proxy/connections/connection-sharing.cc
+++ b/src/proxy/connections/connection-sharing.cc
@@ -290,8 +290,10 @@
   bool was_opened = link.opened_at() != instant{};
   if (link.refusal()) ++counters_.refusals;
   bool unexpected = ended.in_use && !link.aborted() && !link.ended_with_error();
+  bool lacks_database = link.refusal() == wire::failure_kind::wrong_upstream;
   if (!was_opened) {
-    avoid(ended.owner, {}, link.refusal() ? "refused" : "no connection");
+    avoid(ended.owner, lacks_database ? ended.database : database_id(),
+          link.refusal() ? "refused" : "no connection");
   } else if (unexpected) {
     avoid(ended.owner, {}, "the connection was lost");
   }
--- a/test/connection-owners-test.cc
+++ b/test/connection-owners-test.cc
@@ -74,12 +74,14 @@
   std::erase_if(candidates, [&](const auto& one) { return one.id == leaving; });
   // An owner takes the place of the one that leaves, so teams move to it.
   auto owners = owners_among(candidates);
-  for (const auto& [team, owner] : owners_by_team(owners)) {
+  for (const auto& item : owners_by_team(owners)) {
+    const auto& new_owner = item.second;
+    const auto& old_owner = before[item.first];
     bool was_owner =
         std::any_of(before.begin(), before.end(),
-                    [&](const auto& item) { return item.second == owner; });
+                    [&](const auto& one) { return one.second == new_owner; });
     bool moved_between_old_owners =
-        owner != before[team] && before[team] != leaving && was_owner;
+        new_owner != old_owner && old_owner != leaving && was_owner;
     BOOST_TEST(!moved_between_old_owners);
   }
 }
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -57,6 +57,9 @@
     owner.contended = true;
     owner.leader_leases.mark_registered(loop.now());
     owner.leader_leases.apply_records(loop.now(), loop.now(), {});
+    // Connections of probes would count as those of statements.
+    group().set_probe_mode(upstream_group::probe_mode::none);
+    created->set_probe_mode(upstream_group::probe_mode::none);
     server = std::make_unique<relay_server>(owner, inet_address{loopback, 0});
     use_owner(server->address());
   }
@@ -236,6 +239,32 @@
   BOOST_TEST(first.log_end == 100U);
 }
 
+// The same for a sender that can't close its connection. The configuration
+// limits the idle time of transactions to 300 ms.
+BOOST_AUTO_TEST_CASE(a_transaction_of_a_sender_without_power_ends) {
+  line_client sender(loop, server->address());
+  sender.request("CONNECT ledger glaziers i-1 1 200");
+  sender.request("QUERY - BEGIN");
+  sender.request("QUERY 1 PUT 1a4 x");
+  run_until([&] { return sender.closed(); });
+  run_until([&] { return first.connections() == 0; });
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against refusals while only the owner is cut off from the database.
+BOOST_AUTO_TEST_CASE(
+    a_database_that_the_owner_does_not_reach_is_used_directly) {
+  auto unreachable = first.entry();
+  unreachable.address = free_address(loop);
+  unreachable.born_ms = 2;
+  owner_group().set_entry(unreachable);
+  auto caller = connect("orders");
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
+  BOOST_TEST(sender_connected());
+  BOOST_TEST(first.executed().size() == 1U);
+  BOOST_TEST(sharing.counts().refusals == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_owner_that_leaves_finishes_open_transactions) {
   auto caller = connect("orders");
   caller->request("QUERY 1 BEGIN");
@@ -313,6 +342,38 @@
   BOOST_TEST(!sender_connected());
 }
 
+// The target is fewer than 0.3 new connections for each statement. Teams are
+// drawn unevenly, and there are twice as many as the owner has connections.
+BOOST_AUTO_TEST_CASE(an_owner_reuses_connections_and_keeps_its_quota) {
+  constexpr unsigned max_connections = 13;
+  constexpr std::size_t quota = 8;
+  constexpr std::size_t statements = 300;
+  connection_sharing own_view(loop, owner.log, owner.settings.self,
+                              domain_id("a"));
+  own_view.set_instances(
+      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
+  owner_group().set_policy({owner_group().id(), max_connections, 0});
+  owner_group().set_sharing(&own_view);
+  std::vector<std::unique_ptr<line_client>> senders;
+  for (std::size_t i = 0; i < 2 * quota; ++i) {
+    senders.push_back(std::make_unique<line_client>(loop, server->address()));
+    senders.back()->request("CONNECT ledger team-" + std::to_string(i) +
+                            " i-1 1 2000");
+  }
+  std::mt19937 random(11);
+  std::geometric_distribution<std::size_t> team(0.2);
+  for (std::size_t i = 0; i < statements; ++i) {
+    owner_group().tick();
+    auto& sender = *senders[team(random) % senders.size()];
+    BOOST_TEST(starts_with(sender.request("QUERY 1 FETCH 1"), "ROW"));
+    BOOST_TEST(first.connections() <= quota);
+  }
+  auto opened = static_cast<double>(owner_group().connections_opened());
+  BOOST_TEST(opened < 0.3 * statements);
+  BOOST_TEST(owner_group().connections_evicted() > 0U);
+  owner_group().set_sharing(nullptr);
+}
+
 // An invalid line ends its session only.
 BOOST_AUTO_TEST_CASE(hostile_bytes_end_only_their_session) {
   std::mt19937 random(7);
