--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -374,6 +374,45 @@
   owner_group().set_sharing(nullptr);
 }
 
+// Guards against closing an owner's connections as early as those of other
+// instances, after 0.3 to 1.5 s.
+BOOST_AUTO_TEST_CASE(an_owner_keeps_an_idle_connection) {
+  connection_sharing own_view(loop, owner.log, owner.settings.self,
+                              domain_id("a"));
+  own_view.set_instances(
+      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
+  owner_group().set_sharing(&own_view);
+  auto caller = connect("orders");
+  caller->request("QUERY 1 FETCH 1");
+  auto end = boot_time() + 2s;
+  run_until([&] { return boot_time() >= end; });
+  caller->request("QUERY 2 FETCH 1");
+  BOOST_TEST(count(first.received_lines(), "CONNECT") == 1U);
+  owner_group().set_sharing(nullptr);
+}
+
+// Guards against statements that wait for ever once all links are open.
+BOOST_AUTO_TEST_CASE(an_idle_link_makes_room_for_another_one) {
+  auto values = sharing_settings();
+  values.max_links = 1;
+  connection_sharing narrow(loop, state.log, state.settings.self,
+                            domain_id("a"), values);
+  narrow.set_instances(
+      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
+  group().set_sharing(&narrow);
+  auto writer = connect("orders");
+  BOOST_TEST(starts_with(writer->request("QUERY 1 PUT 1 x"), "ROW"));
+  group().apply_sample(loop.now(), {1, 101});
+  second.log_end = third.log_end = 101;
+  group().record_failure(0);
+  group().record_failure(0);
+  BOOST_TEST(starts_with(connect("stock")->request("QUERY 2 FETCH 1"), "ROW"));
+  BOOST_TEST(first.executed().size() == 1U);
+  BOOST_TEST(!sender_connected());
+  run_until([&] { return narrow.link_count() == 1; });
+  group().set_sharing(&sharing);
+}
+
 // An invalid line ends its session only.
 BOOST_AUTO_TEST_CASE(hostile_bytes_end_only_their_session) {
   std::mt19937 random(7);
