--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -305,6 +305,7 @@
   BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
   BOOST_TEST(first.executed().size() == 1U);
   BOOST_TEST(other_view.link_count() == 0U);
+  BOOST_TEST(other_view.avoided_count() == 0U);
   owner_group().set_sharing(nullptr);
 }
 
