--- a/include/toucanmux/proxy/admission/refusal-reason.h
+++ b/include/toucanmux/proxy/admission/refusal-reason.h
@@ -25,6 +25,7 @@
   not_prepared,
   database_error,
   connection_lost,
+  owner_refuses,    ///< The owner of the shared connections did not run it.
   leader_replaced,  ///< Another leader was named before the confirmation.
   no_answer,        ///< Not answered within the route's time limit.
   transaction_open,
@@ -36,7 +37,7 @@
   unknown_statement
 };
 
-inline constexpr std::size_t refusal_reason_count = 26;
+inline constexpr std::size_t refusal_reason_count = 27;
 
 /// The text that callers and the log get.
 std::string_view text_of(refusal_reason reason);
--- a/src/proxy/admission/refusal-reason.cc
+++ b/src/proxy/admission/refusal-reason.cc
@@ -30,6 +30,7 @@
     {"not_prepared", "the statement was not prepared"},
     {"database_error", "the database answered with an error"},
     {"connection_lost", "the database's connection was lost"},
+    {"owner_refuses", "the owner of the connections refuses"},
     {"leader_replaced", "another leader was named meanwhile"},
     {"no_answer", "no answer within the route's time limit"},
     {"transaction_open", "a transaction is open already"},
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -77,7 +77,7 @@
     instant arrived_at;
     instant deadline;
     unsigned attempts = 0;
-    bool sent = false;          ///< To an upstream, by the current attempt.
+    bool sent = false;  ///< To an upstream, by the current attempt.
     /// The timer ends this attempt before the deadline; a retry may follow.
     bool early_timeout = false;
     std::string text_after_begin;  ///< Sent after a successful begin.
--- a/src/proxy/upstream-group-admission.cc
+++ b/src/proxy/upstream-group-admission.cc
@@ -51,6 +51,7 @@
 bool upstream_group::may_run(std::size_t index,
                              const link_request& request) const {
   const auto& requirements = request.requirements;
+  if (request.only_upstream && *request.only_upstream != index) return false;
   if (requirements.leader_only && leader_index() != index) return false;
   if (requirements.excluded >> (index % 64) & 1U) return false;
   return usable(*upstreams_[index]);
