Relay the required position with prepared statements

Cause: the owner of a connection forwarded the execution of a prepared statement without the position that the read requires. Change: the position is passed on; relay-test has a case that fails before.

--- a/src/proxy/connections/relay-session.cc
+++ b/src/proxy/connections/relay-session.cc
@@ -234,7 +234,7 @@
       link_->send_rollback();
       break;
     case statement_verb::execute:
-      if (!forward_prepared(statement)) return;
+      if (!forward_prepared(relayed)) return;
       break;
     default:
       link_->send_statement(statement.id, relayed.after, statement.text);
@@ -243,7 +243,8 @@
 }
 
 // Names of prepared statements differ between the link and the connection.
-bool relay_session::forward_prepared(const session_statement& statement) {
+bool relay_session::forward_prepared(const wire::relayed_statement& relayed) {
+  const auto& statement = relayed.statement;
   auto found = values_.prepared.find(statement.name);
   if (found == values_.prepared.end()) {
     wire::write_failure(stream_.output(), failure_kind::unknown_prepared, "-",
@@ -254,7 +255,7 @@
     return false;
   }
   auto name = link_->prepared_name(found->second);
-  link_->send_statement(statement.id, {},
+  link_->send_statement(statement.id, relayed.after,
                         wire::execute_text(name, statement.value));
   return true;
 }
--- a/src/proxy/connections/relay-session.h
+++ b/src/proxy/connections/relay-session.h
@@ -56,7 +56,7 @@
   std::optional<refusal> check_use();
   void use(upstream_link& link);
   void forward(const wire::relayed_statement& relayed);
-  bool forward_prepared(const session_statement& statement);
+  bool forward_prepared(const wire::relayed_statement& relayed);
   void reply_done();
   void refuse(const refusal& reason);
   void release_if_unused();
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -156,6 +156,23 @@
   BOOST_TEST(!sender_connected());
 }
 
+// Guards against stale reads: the owner passes the position on with statements
+// that execute a prepared one as well.
+BOOST_AUTO_TEST_CASE(a_prepared_read_keeps_the_required_position) {
+  auto occupier = connect("orders");
+  occupier->request("QUERY 1 BEGIN");
+  occupier->request("QUERY 2 FETCH 1a4");
+  group().apply_sample(loop.now(), {1, 100});
+  auto caller = connect("stock");
+  caller->request("QUERY 3 PREPARE mine FETCH x");
+  BOOST_TEST(starts_with(caller->request("QUERY 4 EXEC mine 1"), "ROW"));
+  std::size_t checked = 0;
+  for (auto* database : {&first, &second, &third})
+    checked += count(database->received_lines(), "4 AFTER 1.100 EXEC");
+  BOOST_TEST(checked == 1U);
+  BOOST_TEST(!sender_connected());
+}
+
 // Guards against interleaving the statements of two transactions.
 BOOST_AUTO_TEST_CASE(a_transaction_has_its_own_connection) {
   auto one = connect("orders");
