Drain failure domains, limit cold databases, keep data in its region

Cause: operators could drain single databases only, a restarted database got its full share at once, and nothing kept statements in a region. Change: the domain reader reads the list of drained failure domains every second, and members take it from reports. `availability` decides for each database whether a new statement may go there. Leaders in drained domains are replaced like leaving ones. Cold databases have a budget in any second that is divided over the known instances. A replica that has the whole log of a leader that stepped down may succeed it, although another replica did not answer.

--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -4,6 +4,7 @@
 
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/bounded-list.h"
+#include "toucanmux/proxy/domain/drained-domains-report.h"
 #include "toucanmux/proxy/group-sighting.h"
 #include "toucanmux/proxy/leader-record.h"
 #include "toucanmux/proxy/position-messages.h"
@@ -61,6 +62,8 @@
   bounded_list<group_position, 1024> positions;
   /// Instances that a hub considers gone: low bits of the names' hashes.
   bounded_list<std::uint32_t, 4096> gone;
+  /// Empty if the sender does not know the drained failure domains.
+  bounded_list<drained_domains_report, 1> drained;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -80,7 +83,7 @@
         cereal::make_nvp("lead_knowers", knowers_hash),
         cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
         CEREAL_NVP(sightings), CEREAL_NVP(positions),
-        cereal::make_nvp("gone", gone));
+        cereal::make_nvp("gone", gone), CEREAL_NVP(drained));
   }
 };
 
--- a/include/toucanmux/proxy/placement/upstream-choice.h
+++ b/include/toucanmux/proxy/placement/upstream-choice.h
@@ -8,6 +8,8 @@
 
 namespace toucanmux {
 
+class allowed_regions;
+
 /// The state of one upstream when a statement is routed.
 struct upstream_candidate {
   std::size_t index = 0;  ///< Within the group.
@@ -28,6 +30,7 @@
   bool leader_only = false;
   /// Bit set of the indexes, modulo 64, that must not be chosen.
   std::uint64_t excluded = 0;
+  const allowed_regions* regions = nullptr;  ///< Null allows all.
 };
 
 /// Returns the index of the upstream with the lowest estimated cost; nothing if
--- a/include/toucanmux/proxy/route.h
+++ b/include/toucanmux/proxy/route.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "toucanmux/core.h"
+#include "toucanmux/proxy/domain/region-id.h"
 
 namespace toucanmux {
 
@@ -24,6 +26,7 @@
   unsigned priority = 0;     ///< 0 is served first.
   duration max_age{0};       ///< Allowed staleness of `bounded` and `session`.
   bool open_to_all = false;  ///< Callers need no key.
+  std::vector<region_id> allowed_regions;  ///< Empty allows all.
 };
 
 }  // namespace toucanmux
--- a/include/toucanmux/proxy/team-plan.h
+++ b/include/toucanmux/proxy/team-plan.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "toucanmux/core.h"
+#include "toucanmux/proxy/domain/region-id.h"
 
 namespace toucanmux {
 
@@ -13,6 +14,7 @@
   double rate = 0;   ///< Operations a second.
   double burst = 0;  ///< Operations above the rate at one moment.
   std::vector<std::string> keys;
+  std::vector<region_id> allowed_regions = {};  ///< Empty allows all.
 };
 
 }  // namespace toucanmux
--- a/include/toucanmux/proxy/upstream-entry.h
+++ b/include/toucanmux/proxy/upstream-entry.h
@@ -21,12 +21,14 @@
   std::uint64_t sequence = 0;  ///< Incremented by each heartbeat.
   std::uint64_t born_ms = 0;   ///< Start of the database process, Unix time.
   store_version version;       ///< Of the entry's last change.
+  duration warm_up_left{0};    ///< How long the database stays cold.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(id), CEREAL_NVP(group), CEREAL_NVP(address),
             CEREAL_NVP(domain), CEREAL_NVP(draining), CEREAL_NVP(claims_lead),
-            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version));
+            CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version),
+            CEREAL_NVP(warm_up_left));
   }
 };
 
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -104,13 +104,11 @@
   if (!group) return fail_statement(failure_kind::busy, "no such group here");
   if (link_) return send(*link_);
   requirements.leader_only = needs_leader() || !required_position();
+  requirements.regions = regions_.restricted() ? &regions_ : nullptr;
   team = operation_team_;
   priority = route_.priority;
   waiting_since = statement_.arrived_at;
-  if (!group->may_serve(requirements)) {
-    return fail_statement(failure_kind::busy, "no database can serve this now",
-                          leader_change_retry_after);
-  }
+  if (!group->may_serve(requirements)) return refuse_unservable(*group);
   if (upstream_link* free_link = group->try_acquire(*this))
     return on_link(*free_link);
   admission_request request{statement_.arrived_at, statement_.deadline,
@@ -138,6 +136,9 @@
 }
 
 void client_session::send(upstream_link& link) {
+  upstream_group* cold_group = state_.find_group(route_.group);
+  if (cold_group && !cold_group->take_warm_up(link.upstream()))
+    return retry_or_refuse("the database warms up");
   statement_.sent = true;
   spend_token();
   ++statement_.attempts;
@@ -195,6 +196,10 @@
   if (answer.purpose == link_purpose::begin && !leads(link)) {
     return retry_or_refuse("the leader changes");
   }
+  // The drain of the domain may have been learned since the begin was sent.
+  const upstream_group* group = state_.find_group(route_.group);
+  if (!group || !group->may_begin(link.upstream(), requirements))
+    return retry_or_refuse("the failure domain is drained");
   link.send_statement(statement_.id, {}, statement_.text_after_begin);
   if (transaction_phase_ == phase::none) link.send_rollback();
 }
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -217,6 +217,7 @@
   if (!found)
     return refusal{failure_kind::unknown_database, "no such database"};
   route_ = *found;
+  limit_regions();
   return check_key(*found);
 }
 
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -13,6 +13,7 @@
 #include "proxy/statement.h"
 #include "proxy/tcp-stream.h"
 #include "proxy/upstream-link.h"
+#include "toucanmux/proxy/domain/allowed-regions.h"
 
 namespace toucanmux {
 
@@ -46,6 +47,7 @@
   void on_input() override;
   void on_closed() override;
   void on_link(upstream_link& link) override;
+  void on_refused() override;
   void on_answer(upstream_link& link, const link_answer& answer) override;
   void on_link_lost(upstream_link& link) override;
   void on_link_silent(upstream_link& link) override;
@@ -103,6 +105,8 @@
   std::optional<refusal> begin_operation();
   std::optional<refusal> check_key(const route& current_route);
   bool key_is_valid();
+  void limit_regions();
+  void refuse_unservable(const upstream_group& group);
   void spend_token();
   void return_token();
   void start_statement(const session_statement& statement);
@@ -157,6 +161,7 @@
   // the same until the operation ends.
   route route_;
   team_id operation_team_;
+  allowed_regions regions_;
   bool key_required_ = false;
   bool token_reserved_ = false;  ///< In the team's bucket; not spent yet.
   phase transaction_phase_ = phase::none;
--- a/src/proxy/leader-service.cc
+++ b/src/proxy/leader-service.cc
@@ -200,6 +200,11 @@
     if (may_lead && !up->draining_since)
       start.candidates.push_back(up->entry.id);
   }
+  if (avoids_drained_domains(group, start)) {
+    std::erase_if(start.candidates, [&](const database_id& database) {
+      return group.is_drained(*group.find(database));
+    });
+  }
   if (start.candidates.empty()) return;
   state_.log.write(journal_kind::belief, "leader_change_begins",
                    {{"group", start.group.value},
--- a/src/proxy/leader-service.h
+++ b/src/proxy/leader-service.h
@@ -52,6 +52,10 @@
   cause assess_leader(upstream_group& group, const database_id& leader);
   bool peer_takeover_active(const upstream_group& group) const;
   duration own_turn_delay(upstream_group& group, cause reason) const;
+  /// Whether databases of drained failure domains may be left out of a
+  /// takeover.
+  bool avoids_drained_domains(const upstream_group& group,
+                              const takeover_start& start) const;
   void start_takeover(upstream_group& group, group_state& state, cause reason);
   void step_takeover(const group_id& id, const takeover_event& event);
   void execute(const group_id& id, const takeover_action& action);
--- a/src/proxy/link-request.h
+++ b/src/proxy/link-request.h
@@ -20,6 +20,10 @@
   /// the link until it calls `release` of the link.
   virtual void on_link(upstream_link& link) = 0;
 
+  /// Called when the request was removed from the queue because the databases
+  /// that could serve it may not be used any more.
+  virtual void on_refused() = 0;
+
   upstream_requirements requirements;
   team_id team;
   /// A link with these values is preferred.
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -60,6 +60,7 @@
   if (!report.is_first_part) return;
   apply_leader_records(report);
   apply_confirmations(sender, report);
+  apply_drained_domains(sender, report);
   if (outcome.new_process) update_members();
   // A new process needs the state of its peers, and an instance without the
   // store needs to know whether its peers reach it.
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -87,6 +87,14 @@
       age_ms.count(), 0, max_reported_age.count() / 1000));
 }
 
+std::size_t encoded_size(std::span<const drained_domains_report> drained) {
+  constexpr std::size_t fixed_bytes = 16;
+  std::size_t out = 0;
+  for (const auto& each : drained)
+    out += fixed_bytes + each.domains.items.size() * sizeof(std::uint32_t);
+  return out;
+}
+
 std::uint64_t stamp_of(instant at) {
   return static_cast<std::uint64_t>(at.time_since_epoch().count());
 }
@@ -388,6 +396,8 @@
   const auto& upstreams = state_.upstream_confirmation;
   out.upstream_age_ms = reported_age_ms(
       upstreams.confirmed() ? upstreams.age(now) : max_reported_age);
+  if (auto drained = state_.domains.drained.report(now, generation))
+    out.drained.items.push_back(std::move(*drained));
   bool domain = options.sender_scope == scope::domain;
   if (state_.confirmation.confirmed()) {
     out.config_version = state_.config->version();
@@ -452,7 +462,8 @@
   do {
     auto free_bytes = max_report_list_bytes -
                       report.gone.items.size() * gone_bytes -
-                      report.leader_records.items.size() * leader_record_bytes;
+                      report.leader_records.items.size() * leader_record_bytes -
+                      encoded_size(report.drained.items);
     next_positions.fill(report.positions.items, free_bytes);
     next_sightings.fill(report.sightings.items, free_bytes);
     next_uses.fill(report.uses.items, free_bytes);
@@ -462,6 +473,7 @@
     out.push_back(encode(peer_message(report)));
     report.is_first_part = false;
     report.gone.items.clear();
+    report.drained.items.clear();
     report.leader_records.items.clear();
     report.stamp = next_stamp();
   } while (next_uses.has_items() || next_sightings.has_items() ||
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -45,6 +45,17 @@
   std::size_t member_count() const { return members_->size(); }
   /// The number of peers that this instance knows, alive or not.
   std::size_t known_count() const { return peers_.all().size(); }
+  /// These peers and this instance.
+  std::vector<member_id> known_members() const;
+  /// The number of instances that this one or a live peer knows.
+  std::size_t fleet_size() const;
+  std::vector<domain_id> other_domains() const {
+    return peers_.other_domains();
+  }
+  /// When the domain reader last reported the drained failure domains.
+  instant drained_domains_reported_at() const {
+    return drained_domains_reported_at_;
+  }
   std::vector<store_api::member_record> long_silent_members() const;
   /// A hub knows instances that this one has no record of.
   bool lacks_member_records() const;
@@ -121,6 +132,7 @@
   void apply_uses(const peer& sender, const peer_report& report, bool complete);
   void apply_sightings(const peer& sender, const peer_report& report);
   void apply_confirmations(const peer& sender, const peer_report& report);
+  void apply_drained_domains(const peer& sender, const peer_report& report);
   void apply_leader_records(const peer_report& report);
   void send_reply(const peer& to);
   void redirect_to_hub(const peer& to);
@@ -173,6 +185,7 @@
   instant last_far_report_;
   /// Reports in between name only teams near their limit.
   instant next_full_report_;
+  instant drained_domains_reported_at_;
   unsigned round_ = 0;
   std::uint64_t last_stamp_ = 0;
 };
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -44,6 +44,7 @@
               [this](const auto& update) { store_.apply_update(update); }}),
       store_(state_, peers_),
       leaders_(state_, peers_, store_),
+      domains_(state_, peers_, store_),
       drain_(drain_settings()),
       tick_timer_([this] { tick(); }),
       signals_(std::make_unique<signal_pipe>(
@@ -113,7 +114,7 @@
 }
 
 bool proxy_process::is_ready() const {
-  return !state_.stopping && store_.upstreams_known() &&
+  return !state_.stopping && store_.upstreams_known() && domains_.ready() &&
          state_.confirmation.valid(loop_.now());
 }
 
@@ -148,6 +149,7 @@
   check_leases();
   update_contention();
   store_.tick();
+  domains_.tick();
   leaders_.tick();
   peers_.tick();
   if (state_.stopping) drain_tick();
@@ -233,6 +235,7 @@
     opened += static_cast<double>(group->connections_opened());
     refused += static_cast<double>(group->connections_refused());
   }
+  domains_.update_metrics();
   metrics.set("statements_waiting", waiting);
   metrics.set("connections_opened", opened);
   metrics.set("connections_refused", refused);
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "proxy/client-session.h"
+#include "proxy/domain/domain-service.h"
 #include "proxy/http-port.h"
 #include "proxy/leader-service.h"
 #include "proxy/peer-service.h"
@@ -60,6 +61,7 @@
   peer_service peers_;
   store_sync store_;
   leader_service leaders_;
+  domain_service domains_;
   drain drain_;
   bool closing_idle_sessions_ = false;
   bool leases_held_ = false;
--- a/src/proxy/proxy-settings.h
+++ b/src/proxy/proxy-settings.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "toucanmux/core.h"
+#include "toucanmux/proxy/domain/region-map.h"
 #include "toucanmux/proxy/inet-address.h"
 
 namespace toucanmux {
@@ -32,6 +33,14 @@
   bool log_enabled = true;  ///< False only to measure the cost of logging.
   /// The deployment asks for the mechanisms of contended deployments.
   bool pressure = false;
+  region_map regions;  ///< Of the failure domains.
+  /// From the store's acknowledgement of a domain drain until no new statement
+  /// reaches the domain's databases; 0 if no domain is ever drained.
+  duration domain_drain_timeout{0};
+  /// The same while single instances are cut off from the store.
+  duration isolated_drain_timeout{0};
+  double warm_up_excess = 0;  ///< Multiplies a group's rate for cold databases.
+  double warm_up_margin = 0;  ///< Statements a second in addition to that.
   duration shutdown_timeout{0};  ///< From SIGTERM until the platform kills
                                  ///< the process.
 };
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -11,6 +11,7 @@
 #include "proxy/proxy-settings.h"
 #include "proxy/upstream-group.h"
 #include "toucanmux/proxy/config-confirmation.h"
+#include "toucanmux/proxy/domain/domain-rules.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/list-confirmation.h"
@@ -27,7 +28,12 @@
       : loop(process_loop),
         settings(values),
         log(values.self, values.log_enabled),
-        confirmation(values.revocation_timeout) {}
+        confirmation(values.revocation_timeout) {
+    domains.regions = values.regions;
+    domains.warm_up_excess = values.warm_up_excess;
+    domains.warm_up_margin = values.warm_up_margin;
+    if (values.domain_drain_timeout > duration{0}) domains.drained.follow();
+  }
 
   upstream_group* find_group(const group_id& id) const {
     auto found = groups.find(id);
@@ -52,6 +58,8 @@
   store_generation store;
   config_confirmation confirmation;
   list_confirmation upstream_confirmation;
+  domain_rules domains;
+  std::uint64_t residency_refusals = 0;  ///< Statements refused for regions.
   leader_lease leader_leases;
   rate_ledger rate_limits;
   retry_budget read_retries;  ///< For reads that failed or were not
--- a/src/proxy/store-api.h
+++ b/src/proxy/store-api.h
@@ -65,6 +65,18 @@
 http_call read_upstream(const database_id& id);
 std::optional<upstream_entry> parse_upstream(std::string_view body);
 
+/// One page of the list of drained failure domains.
+struct drained_domain_page {
+  std::vector<domain_id> domains;
+  std::size_t skipped_entries = 0;  ///< Malformed entries.
+  std::string continue_after;
+  std::uint64_t revision = 0;
+};
+http_call list_drained_domains(std::string_view after);
+/// A store that has no such list has no drained domains.
+std::optional<drained_domain_page> parse_drained_domains(
+    const http_result& result);
+
 http_call list_members(std::string_view after, read_consistency consistency);
 struct member_page {
   std::vector<member_record> members;
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -269,6 +269,7 @@
           state_.loop, state_.log, policy.id, state_.settings.self,
           state_.settings.domain, state_.leader_leases,
           state_.settings.heartbeat_interval, state_.settings.drain_timeout);
+      group->set_domain_rules(state_.domains);
       // Earlier lists skipped the databases of this group.
       watch_from_ = 0;
     }
--- a/src/proxy/store-sync.h
+++ b/src/proxy/store-sync.h
@@ -39,6 +39,8 @@
   duty_read inherited_duty(const group_id& group) const {
     return duties_.inherited_duty(group);
   }
+  /// True while this instance is registered and has read all registrations.
+  bool members_known() const { return registered_ && members_listed_; }
   /// True once the databases were listed.
   bool upstreams_known() const { return upstreams_known_; }
 
--- a/src/proxy/takeover.cc
+++ b/src/proxy/takeover.cc
@@ -288,7 +288,12 @@
 
 // Each acknowledged commit is on `sync_replicas` replicas. The replicas that
 // answered must include at least one of these.
+// So does a replica with the whole log of a leader that has stepped down.
 bool takeover::has_enough_positions() const {
+  const database_id* best = most_advanced_replica();
+  bool has_whole_log = best && old_leader_position_ &&
+                       !(replica_positions_.at(*best) < *old_leader_position_);
+  if (has_whole_log) return true;
   if (request_.sync_replicas == 0) return !replica_positions_.empty();
   return replica_positions_.size() + request_.sync_replicas >
          request_.replica_count;
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -6,6 +6,7 @@
 #include "proxy/journal.h"
 #include "toucanmux/hash.h"
 #include "toucanmux/proxy/connections/connection-share.h"
+#include "toucanmux/proxy/domain/domain-rules.h"
 
 namespace toucanmux {
 
@@ -31,6 +32,9 @@
 // Weight of one statement in the moving average of response times.
 constexpr double response_weight = 0.2;
 
+// For groups without rules.
+const domain_rules no_rules;
+
 leader_watch::settings watch_settings(duration heartbeat) {
   leader_watch::settings out;
   out.heartbeat_check_interval = heartbeat + heartbeat / 8;
@@ -89,6 +93,7 @@
       domain_(domain),
       leases_(leases),
       drain_timeout_(drain_timeout),
+      rules_(&no_rules),
       members_(std::make_shared<const std::vector<member_id>>()),
       watch_(watch_settings(heartbeat)) {}
 
@@ -133,6 +138,7 @@
   if (!entry.draining) up.draining_since.reset();
   if (entry.draining && !up.draining_since)
     up.draining_since = std::min(loop_.now(), changed_after);
+  note_warm_up(up);
   update_allowance(up);
   update_leader();
   schedule_serve();
@@ -299,7 +305,9 @@
 
 bool upstream_group::leader_is_draining() const {
   auto index = leader_index();
-  return index && upstreams_[*index]->draining_since.has_value();
+  if (!index) return false;
+  const upstream& up = *upstreams_[*index];
+  return up.draining_since.has_value() || is_drained(up);
 }
 
 std::uint64_t upstream_group::leader_term() const {
@@ -357,7 +365,9 @@
   out.leader = is_leader;
   // A draining replica gets no new statements. A draining leader does, until it
   // has a successor.
-  out.usable = usable(up) && (!up.draining_since || out.leader);
+  out.usable =
+      usable(up) && (!up.draining_since || out.leader) &&
+      availability_of(up, request.requirements) == availability::available;
   out.same_domain = up.entry.domain == domain_;
   out.warm = idle_link(up, request) != nullptr;
   bool has_room =
@@ -468,7 +478,7 @@
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     if (requirements.leader_only && leader != i) continue;
     if (requirements.excluded >> (i % 64) & 1U) continue;
-    if (usable(*upstreams_[i])) return true;
+    if (may_use(*upstreams_[i], requirements)) return true;
   }
   return false;
 }
@@ -481,7 +491,8 @@
   duration weighted_sum{0};
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
     const upstream& up = *upstreams_[i];
-    if ((requirements.leader_only && leader != i) || !usable(up)) continue;
+    if (requirements.leader_only && leader != i) continue;
+    if (!may_use(up, requirements)) continue;
     auto link_count = std::max<std::size_t>(up.links.size(), 1);
     out.connections += link_count;
     weighted_sum += up.response_time * static_cast<duration::rep>(link_count);
@@ -622,6 +633,7 @@
   for (std::size_t i = 0; i < upstreams_.size(); ++i) probe_suspended(i);
   probe_leader();
   abort_removed();
+  log_ended_warm_ups();
   for (auto& up : upstreams_) up->link_idle_timeout.tick();
   close_surplus_links();
   schedule_serve();
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -11,6 +11,7 @@
 #include "proxy/upstream-link.h"
 #include "proxy/upstream.h"
 #include "toucanmux/proxy/admission/queue-admission.h"
+#include "toucanmux/proxy/domain/availability.h"
 #include "toucanmux/proxy/fleet-config.h"
 #include "toucanmux/proxy/leader-lease.h"
 #include "toucanmux/proxy/leader-watch.h"
@@ -19,6 +20,7 @@
 namespace toucanmux {
 
 class journal;
+struct domain_rules;
 
 /// The databases of one group, this instance's connections to them, and the
 /// queue of statements that wait for a connection.
@@ -42,6 +44,8 @@
   std::uint32_t hash() const { return hash_; }
 
   void set_policy(const group_policy& policy) { policy_ = policy; }
+  /// @param rules are used as long as the group exists.
+  void set_domain_rules(const domain_rules& rules) { rules_ = &rules; }
   void set_members(std::shared_ptr<const std::vector<member_id>> members);
   /// Adds a database or updates its discovery entry.
   /// @param changed_after no later than the entry's last change in the store;
@@ -61,6 +65,26 @@
   /// True if at least one database could serve the request. Otherwise the
   /// request should be refused rather than queued.
   bool may_serve(const upstream_requirements& requirements) const;
+  /// Why a request that `may_serve` rejects can't be served; `available` if
+  /// failure domains, regions and warm-up are not the reason.
+  availability obstacle(const upstream_requirements& requirements) const;
+  /// Whether a transaction may begin at the database that a link leads to.
+  bool may_begin(std::size_t index,
+                 const upstream_requirements& requirements) const;
+  /// Counts a statement that is about to be sent to a database. False if the
+  /// database is cold and must not get it.
+  bool take_warm_up(std::size_t index);
+  /// Refuses the queued requests that only databases of drained failure domains
+  /// could serve, and serves those that may be served now.
+  void apply_drain_change();
+  /// Whether any database is cold.
+  bool warming_up() const;
+  /// Divides the warm-up budgets over the known instances.
+  void update_warm_up_shares();
+  /// How many statements this instance may send to cold databases now.
+  unsigned warm_up_left() const;
+  /// Whether the database's failure domain is drained.
+  bool is_drained(const upstream& database) const;
   /// The state of the queue that a request with these requirements would join.
   queue_state queue_for(const upstream_requirements& requirements) const;
 
@@ -81,6 +105,7 @@
   const upstream* find(const database_id& id) const;
   const upstream& at(std::size_t index) const { return *upstreams_[index]; }
   std::vector<const upstream*> upstreams() const;
+  /// Whether the leader or its failure domain is being drained.
   bool leader_is_draining() const;
   /// The highest term seen in answers of any database.
   std::uint64_t leader_term() const;
@@ -157,6 +182,13 @@
   void confirm_leadership(std::size_t index);
   bool removal_is_final(const upstream& database) const;
   bool usable(const upstream& database) const;
+  availability availability_of(const upstream& database,
+                               const upstream_requirements& requirements) const;
+  bool may_use(const upstream& database,
+               const upstream_requirements& requirements) const;
+  void note_warm_up(upstream& database);
+  void update_warm_up_share(upstream& database) const;
+  void log_ended_warm_ups();
   void record_answer(upstream& database);
   void update_leader();
   upstream_candidate make_candidate(std::size_t index, bool is_leader,
@@ -188,6 +220,7 @@
   const leader_lease& leases_;
   duration drain_timeout_;
   group_policy policy_;
+  const domain_rules* rules_;
   std::shared_ptr<const std::vector<member_id>> members_;  ///< All instances.
   std::vector<std::unique_ptr<upstream>> upstreams_;
   request_queue queue_;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -6,6 +6,7 @@
 #include "proxy/upstream-link.h"
 #include "toucanmux/proxy/connections/connection-share.h"
 #include "toucanmux/proxy/connections/idle-timeout.h"
+#include "toucanmux/proxy/domain/warm-up.h"
 #include "toucanmux/proxy/placement/outcome-score.h"
 #include "toucanmux/proxy/upstream-entry.h"
 
@@ -20,6 +21,8 @@
 
   std::optional<instant> removed_at;  ///< When its discovery entry vanished.
   std::optional<instant> draining_since;  ///< When its entry became draining.
+  warm_up budget;                         ///< While the database is cold.
+  bool warm_up_logged = false;
   /// Silent or refusing connections; gets only probes, no statements.
   bool suspended = false;
   instant next_probe_at;  ///< While suspended.
--- a/test/proxy-settings-test.cc
+++ b/test/proxy-settings-test.cc
@@ -79,6 +79,28 @@
   BOOST_TEST(settings.cpu_millicores == 1000U);
 }
 
+// Guards against further store calls of a deployment that drains no domains.
+BOOST_AUTO_TEST_CASE(the_settings_of_failure_domains_are_read) {
+  temporary_file plain(valid_settings);
+  auto settings = read_proxy_settings(plain.path());
+  BOOST_TEST((settings.domain_drain_timeout == 0s));
+  BOOST_TEST(settings.warm_up_excess == 1.5);
+  BOOST_TEST(settings.warm_up_margin == 5);
+  auto text = valid_settings;
+  text.insert(0, "region = \"eu\"\n");
+  text.insert(text.find("revoke_ms"),
+              "evacuate_ms = 5000\ncold_excess = 2\ncold_margin = 0\n");
+  temporary_file full(text + "[zones]\nsur = \"us\"\nwrong = 7\n");
+  settings = read_proxy_settings(full.path());
+  BOOST_TEST((settings.domain_drain_timeout == 5s));
+  BOOST_TEST((settings.isolated_drain_timeout == 15s));
+  BOOST_TEST(settings.warm_up_excess == 2);
+  BOOST_TEST(settings.warm_up_margin == 0);
+  BOOST_TEST(settings.regions.find(domain_id("sur")).value == "us");
+  BOOST_TEST(settings.regions.find(domain_id("norte")).value == "eu");
+  BOOST_TEST(settings.regions.find(domain_id("wrong")).empty());
+}
+
 BOOST_AUTO_TEST_CASE(the_cpu_quota_is_read_in_thousandths_of_a_core) {
   temporary_file file(valid_settings + "[limits]\ncpu_quota = 0.084\n");
   BOOST_TEST(read_proxy_settings(file.path()).cpu_millicores == 84U);
--- a/test/store-api-test.cc
+++ b/test/store-api-test.cc
@@ -99,6 +99,40 @@
   BOOST_TEST((config.find_route("orders")->kind == route_kind::leader));
 }
 
+// Guards against a malformed entry that hides a drain, and against a store
+// without the kind that keeps instances from becoming ready.
+BOOST_AUTO_TEST_CASE(drained_domains_are_parsed) {
+  http_result result;
+  result.answered = true;
+  result.status = 200;
+  result.body = page(R"({"meta":{"name":"norte","revision":9},"spec":{}},17,
+      {"meta":{"name":""}},{"meta":{"name":"sur"},"spec":null})",
+                     true);
+  auto found = store_api::parse_drained_domains(result).value();
+  BOOST_TEST(found.domains.size() == 2U);
+  BOOST_TEST(found.skipped_entries == 2U);
+  BOOST_TEST(found.revision == 530U);
+  BOOST_TEST(found.continue_after == "sur");
+  result.body = "[]";
+  BOOST_TEST(!store_api::parse_drained_domains(result).has_value());
+  result.status = 404;
+  BOOST_TEST(store_api::parse_drained_domains(result)->domains.empty());
+  result.answered = false;
+  BOOST_TEST(!store_api::parse_drained_domains(result).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_warm_up_of_a_database_is_parsed) {
+  auto with = [](const std::string& value) {
+    auto text = good_entry;
+    text.insert(text.find("\"slots\""), "\"cold_left_ms\":" + value + ',');
+    return store_api::parse_upstream(text)->warm_up_left;
+  };
+  BOOST_TEST((with("4500") == 4500ms));
+  BOOST_TEST((with("\"soon\"") == 0ms));
+  BOOST_TEST((with("-1") == 0ms));
+  BOOST_TEST((with("18446744073709551615") == 1h));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_entries_are_skipped) {
   auto found = store_api::parse_upstreams(
       page(good_entry + R"(,{"meta":{"name":"i-2"}},17,null,
