Keep drains over a restore of the store and bound warm-ups for differing views

Cause: a restored store may lack a drain until the operators have written it again, and instances that know different parts of the fleet could together send more to a cold database than its allowance. Change: lists that were read before the generation is settled add drains and end none, and the first read waits until then. Instances that are not known count as chosen first.

--- a/include/toucanmux/proxy/domain/drained-domains.h
+++ b/include/toucanmux/proxy/domain/drained-domains.h
@@ -26,10 +26,17 @@
   std::span<const std::uint32_t> hashes() const { return hashes_; }
   const list_confirmation& confirmation() const { return confirmation_; }
 
+  /// Whether a list may end drains that it lacks.
+  enum class completeness : std::uint8_t {
+    complete,
+    partial  ///< A restore of the store may have undone drains.
+  };
+
   /// The whole list was read.
   /// @param sent_at when the linearizable read was sent.
   void apply_list(instant sent_at, const store_version& version,
-                  std::span<const domain_id> domains);
+                  std::span<const domain_id> domains,
+                  completeness trust = completeness::complete);
   /// A peer reported its list. An older list than the known one is ignored.
   /// @param confirmed_at when the peer's list is known to have been current, if
   /// that is known.
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -217,7 +217,6 @@
   if (!found)
     return refusal{failure_kind::unknown_database, "no such database"};
   route_ = *found;
-  limit_regions();
   return check_key(*found);
 }
 
@@ -225,6 +224,7 @@
     const route& current_route) {
   instant now = state_.loop.now();
   const team_plan* plan = state_.config->find_team_by_key(key_);
+  limit_regions(plan);
   key_required_ = !current_route.open_to_all;
   operation_team_ = plan ? plan->team : anonymous_team;
   if (!key_required_) return {};
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -105,7 +105,7 @@
   std::optional<refusal> begin_operation();
   std::optional<refusal> check_key(const route& current_route);
   bool key_is_valid();
-  void limit_regions();
+  void limit_regions(const team_plan* plan);
   void refuse_unservable(const upstream_group& group);
   void spend_token();
   void return_token();
--- a/src/proxy/domain/client-session-domain.cc
+++ b/src/proxy/domain/client-session-domain.cc
@@ -25,10 +25,9 @@
 }  // namespace
 
 // The regions stay the same for the whole operation, as its route does.
-void client_session::limit_regions() {
+void client_session::limit_regions(const team_plan* plan) {
   regions_ = {};
   regions_.restrict_to(route_.allowed_regions);
-  const team_plan* plan = state_.config->find_team_by_key(key_);
   if (plan) regions_.restrict_to(plan->allowed_regions);
 }
 
--- a/src/proxy/domain/domain-service.cc
+++ b/src/proxy/domain/domain-service.cc
@@ -31,6 +31,8 @@
 
 bool domain_service::read_due() const {
   instant now = state_.loop.now();
+  // The first list has to be complete.
+  if (!read_once_ && !state_.store.settled(now)) return false;
   const auto& list = state_.domains.drained.confirmation();
   drained_list_situation situation;
   situation.read_once = read_once_;
@@ -70,9 +72,14 @@
   if (!page->continue_after.empty()) return read_list(page->continue_after);
   note_skipped(skipped_);
   order_known_first();
+  // Until the operators have written again what a restore undid, a list does
+  // not end a drain.
+  bool settled = state_.store.settled(list_sent_at_);
+  using completeness = drained_domains::completeness;
   state_.domains.drained.apply_list(
-      list_sent_at_, {result.generation, list_revision_}, listed_);
-  read_once_ = true;
+      list_sent_at_, {result.generation, list_revision_}, listed_,
+      settled ? completeness::complete : completeness::partial);
+  read_once_ = read_once_ || settled;
   read_at_ = state_.loop.now();
   note_changes();
 }
@@ -180,6 +187,10 @@
   metrics.set("residency_refusals",
               static_cast<double>(state_.residency_refusals));
   metrics.set("warm_up_left", left);
+  const auto& list = state_.domains.drained.confirmation();
+  if (!list.confirmed()) return;
+  std::chrono::duration<double> age = list.age(state_.loop.now());
+  metrics.set("drained_domains_age", age.count());
 }
 
 }  // namespace toucanmux
--- a/src/proxy/domain/drained-domains.cc
+++ b/src/proxy/domain/drained-domains.cc
@@ -28,9 +28,10 @@
 }
 
 void drained_domains::apply_list(instant sent_at, const store_version& version,
-                                 std::span<const domain_id> domains) {
+                                 std::span<const domain_id> domains,
+                                 completeness trust) {
   std::vector<std::uint32_t> hashes;
-  hashes.reserve(domains.size());
+  if (trust == completeness::partial) hashes = hashes_;
   for (const auto& domain : domains) hashes.push_back(short_hash(domain.value));
   if (replace(version, std::move(hashes))) confirmation_.confirm_list(sent_at);
 }
--- a/src/proxy/domain/warm-up-share.cc
+++ b/src/proxy/domain/warm-up-share.cc
@@ -21,9 +21,11 @@
   if (fleet.size == 0 || !(allowance >= 1)) return 0;
   auto whole = static_cast<std::size_t>(std::min(allowance, max_allowance));
   if (whole >= size) return static_cast<unsigned>(whole / size);
-  // Of the instances that are not known here, as large a part is chosen.
-  auto chosen = whole * fleet.known.size() / size;
-  return owns(self, database, fleet.known, chosen) ? 1 : 0;
+  // Instances that are not known here may all come before this one. So each
+  // instance that chooses itself is also among the first of all instances.
+  auto unknown = size - fleet.known.size();
+  if (unknown >= whole) return 0;
+  return owns(self, database, fleet.known, whole - unknown) ? 1 : 0;
 }
 
 }  // namespace toucanmux
--- a/test/domain-drain-test.cc
+++ b/test/domain-drain-test.cc
@@ -232,6 +232,19 @@
   BOOST_TEST(waiter->request("QUERY 6 PUT 1a4 x").find("ROW") == 0U);
 }
 
+// Guards against the first statement of a transaction at a database whose
+// domain was drained after the begin was sent.
+BOOST_AUTO_TEST_CASE(a_drain_between_begin_and_statement_stops_the_statement) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 PUT 1a4 x");
+  auto known_lines = first.received_lines().size();
+  caller->send("QUERY 2 FETCH 1a4");
+  while (first.received_lines().size() == known_lines) loop.turn(20ms);
+  drain({first.entry().domain});
+  BOOST_TEST(caller->read_answer().find("drained") != std::string::npos);
+  BOOST_TEST(first.executed().size() == 1U);
+}
+
 // Guards against statements over the warm-up budget, also from a transaction
 // that is open.
 BOOST_AUTO_TEST_CASE(a_cold_database_gets_no_more_than_its_budget) {
--- a/test/drained-domains-test.cc
+++ b/test/drained-domains-test.cc
@@ -61,6 +61,17 @@
   BOOST_TEST(!reader.report(start, 2).has_value());
 }
 
+// Guards against a drain that ends because a restored store has lost its entry.
+BOOST_AUTO_TEST_CASE(an_unsettled_list_ends_no_drain) {
+  read(7, {north});
+  list.apply_list(start, {2, 3}, std::vector{south},
+                  drained_domains::completeness::partial);
+  BOOST_TEST(list.contains(north));
+  BOOST_TEST(list.contains(south));
+  list.apply_list(start, {2, 4}, std::vector{south});
+  BOOST_TEST(!list.contains(north));
+}
+
 // Guards against calls to the store by members whose reader reports, and
 // against a drain that nobody reads after the reader has failed.
 BOOST_AUTO_TEST_CASE(members_read_the_list_only_without_their_reader) {
--- a/test/warm-up-test.cc
+++ b/test/warm-up-test.cc
@@ -79,21 +79,23 @@
 
 // Guards against a larger sum while instances know different parts of the
 // fleet. Each has heard from a peer that knows all.
-BOOST_AUTO_TEST_CASE(differing_views_keep_within_the_allowance_on_average) {
+BOOST_AUTO_TEST_CASE(differing_views_keep_within_the_allowance) {
   auto members = make_members(102);
   std::mt19937 random(11);
-  double sum = 0;
-  constexpr int draws = 50;
-  for (int draw = 0; draw < draws; ++draw) {
+  unsigned largest = 0;
+  for (int draw = 0; draw < 50; ++draw) {
+    unsigned sum = 0;
     for (const auto& self : members) {
       std::vector<member_id> known{self};
       for (const auto& id : members) {
-        if (id != self && random() % 4 != 0) known.push_back(id);
+        if (id != self && random() % 8 != 0) known.push_back(id);
       }
       sum += warm_up_share(self, {known, members.size()}, "i-1", allowance);
     }
+    BOOST_TEST(sum <= allowance);
+    largest = std::max(largest, sum);
   }
-  BOOST_TEST(sum / draws <= allowance);
+  BOOST_TEST(largest > 0U);
 }
 
 // An instance that starts knows itself only.
