--- a/test/warm-up-test.cc
+++ b/test/warm-up-test.cc
@@ -26,6 +26,7 @@
 
 std::vector<member_id> make_members(std::size_t count) {
   std::vector<member_id> out;
+  out.reserve(count);
   for (std::size_t i = 0; i < count; ++i)
     out.emplace_back("edge-" + std::to_string(i));
   return out;
@@ -59,6 +60,7 @@
 std::vector<unsigned> shares_of(const std::vector<member_id>& members,
                                 std::size_t fleet_size) {
   std::vector<unsigned> out;
+  out.reserve(members.size());
   for (const auto& id : members)
     out.push_back(warm_up_share(id, {members, fleet_size}, "i-1", allowance));
   return out;
