--- a/include/toucanmux/proxy/admission/refusal-reason.h
+++ b/include/toucanmux/proxy/admission/refusal-reason.h
@@ -13,9 +13,12 @@
   unknown_database,
   keys_unconfirmed,  ///< The configuration was not confirmed recently enough.
   key_withdrawn,
-  over_rate,    ///< The team exceeds its rate.
-  no_group,     ///< The route's group is not known.
-  no_database,  ///< No database can serve the statement now.
+  over_rate,        ///< The team exceeds its rate.
+  no_group,         ///< The route's group is not known.
+  no_database,      ///< No database can serve the statement now.
+  outside_regions,  ///< No database in an allowed region can serve it.
+  domain_drained,
+  warming_up,  ///< Only cold databases are left.
   leader_changes,
   leader_busy,
   databases_busy,
@@ -37,7 +40,7 @@
   unknown_statement
 };
 
-inline constexpr std::size_t refusal_reason_count = 27;
+inline constexpr std::size_t refusal_reason_count = 30;
 
 /// The text that callers and the log get.
 std::string_view text_of(refusal_reason reason);
--- a/include/toucanmux/proxy/peer-report.h
+++ b/include/toucanmux/proxy/peer-report.h
@@ -4,6 +4,7 @@
 
 #include "toucanmux/core.h"
 #include "toucanmux/proxy/bounded-list.h"
+#include "toucanmux/proxy/domain/drained-domains-report.h"
 #include "toucanmux/proxy/group-sighting.h"
 #include "toucanmux/proxy/leader-record.h"
 #include "toucanmux/proxy/placement/load-list.h"
@@ -64,6 +65,8 @@
   bounded_list<std::uint32_t, 4096> gone;
   /// Of databases in use; in first parts in a contended deployment.
   load_list loads;
+  /// Empty if the sender does not know the drained failure domains.
+  bounded_list<drained_domains_report, 1> drained;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -83,7 +86,7 @@
         cereal::make_nvp("lead_knowers", knowers_hash),
         cereal::make_nvp("leads", leader_records), CEREAL_NVP(uses),
         CEREAL_NVP(sightings), CEREAL_NVP(positions),
-        cereal::make_nvp("gone", gone), CEREAL_NVP(loads));
+        cereal::make_nvp("gone", gone), CEREAL_NVP(loads), CEREAL_NVP(drained));
   }
 };
 
--- a/include/toucanmux/proxy/upstream-entry.h
+++ b/include/toucanmux/proxy/upstream-entry.h
@@ -23,13 +23,14 @@
   store_version version;       ///< Of the entry's last change.
   /// Statements that the database runs at the same time; 0 if unknown.
   std::uint32_t slots = 0;
+  duration warm_up_left{0};  ///< How long the database stays cold.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(CEREAL_NVP(id), CEREAL_NVP(group), CEREAL_NVP(address),
             CEREAL_NVP(domain), CEREAL_NVP(draining), CEREAL_NVP(claims_lead),
             CEREAL_NVP(sequence), CEREAL_NVP(born_ms), CEREAL_NVP(version),
-            CEREAL_NVP(slots));
+            CEREAL_NVP(slots), CEREAL_NVP(warm_up_left));
   }
 };
 
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -116,16 +116,14 @@
     return fail_statement(failure_kind::busy, refusal_reason::no_group);
   if (link_) return send(*link_);
   requirements.leader_only = needs_leader() || !required_position();
+  requirements.regions = regions_.restricted() ? &regions_ : nullptr;
   team = operation_team_;
   priority = route_.priority;
   waiting_since = statement_.arrived_at;
   deadline = statement_.deadline;
   may_wait = std::clamp<duration>((statement_.deadline - state_.loop.now()) / 2,
                                   duration{0}, max_relay_wait);
-  if (!group->may_serve(requirements)) {
-    return fail_statement(failure_kind::busy, refusal_reason::no_database,
-                          leader_change_retry_after);
-  }
+  if (!group->may_serve(requirements)) return refuse_unservable(*group);
   if (upstream_link* free_link = group->try_acquire(*this))
     return on_link(*free_link);
   if (state_.contended) return wait_for_link(*group);
@@ -154,6 +152,9 @@
 }
 
 void client_session::send(upstream_link& link) {
+  upstream_group* cold_group = state_.find_group(route_.group);
+  if (cold_group && !cold_group->take_warm_up(link.upstream()))
+    return retry_or_refuse(refusal_reason::warming_up);
   statement_.sent = true;
   spend_token();
   ++statement_.attempts;
@@ -211,6 +212,10 @@
   if (answer.purpose == link_purpose::begin && !leads(link)) {
     return retry_or_refuse(refusal_reason::leader_changes);
   }
+  // The drain of the domain may have been learned since the begin was sent.
+  const upstream_group* group = state_.find_group(route_.group);
+  if (!group || !group->may_begin(link.upstream(), requirements))
+    return retry_or_refuse(refusal_reason::domain_drained);
   link.send_statement(statement_.id, {}, statement_.text_after_begin);
   if (transaction_phase_ == phase::none) link.send_rollback();
 }
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -233,6 +233,7 @@
     const route& current_route) {
   instant now = state_.loop.now();
   const team_plan* plan = state_.config->find_team_by_key(key_);
+  limit_regions(plan);
   key_required_ = !current_route.open_to_all;
   operation_team_ = plan ? plan->team : anonymous_team;
   if (!key_required_) return {};
--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -80,11 +80,19 @@
   std::span<const Item> remaining_;
 };
 
+std::size_t encoded_size(std::span<const drained_domains_report> drained) {
+  constexpr std::size_t fixed_bytes = 16;
+  std::size_t out = 0;
+  for (const auto& each : drained)
+    out += fixed_bytes + each.domains.items.size() * sizeof(std::uint32_t);
+  return out;
+}
+
 // What the lists that are not distributed over parts leave of a datagram.
 std::size_t free_list_bytes(const peer_report& report) {
   auto used = report.gone.items.size() * gone_bytes +
               report.leader_records.items.size() * leader_record_bytes +
-              report.loads.bytes();
+              report.loads.bytes() + encoded_size(report.drained.items);
   return max_report_list_bytes - std::min(used, max_report_list_bytes);
 }
 
@@ -431,6 +439,8 @@
   const auto& upstreams = state_.upstream_confirmation;
   out.upstream_age_ms = reported_age_ms(
       upstreams.confirmed() ? upstreams.age(now) : max_reported_age);
+  if (auto drained = state_.domains.drained.report(now, generation))
+    out.drained.items.push_back(std::move(*drained));
   bool domain = options.sender_scope == scope::domain;
   if (state_.confirmation.confirmed()) {
     out.config_version = state_.config->version();
@@ -507,6 +517,7 @@
     out.push_back(encode(peer_message(report)));
     report.is_first_part = false;
     report.gone.items.clear();
+    report.drained.items.clear();
     report.leader_records.items.clear();
     report.loads.items.reset();
     report.stamp = next_stamp();
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -9,6 +9,7 @@
 #include "proxy/client-session.h"
 #include "proxy/connections/connection-sharing.h"
 #include "proxy/connections/relay-server.h"
+#include "proxy/domain/domain-service.h"
 #include "proxy/http-port.h"
 #include "proxy/leader-service.h"
 #include "proxy/peer-service.h"
@@ -69,6 +70,7 @@
   peer_service peers_;
   store_sync store_;
   leader_service leaders_;
+  domain_service domains_;
   drain drain_;
   bool closing_idle_sessions_ = false;
   bool leases_held_ = false;
--- a/src/proxy/upstream-group-admission.cc
+++ b/src/proxy/upstream-group-admission.cc
@@ -54,7 +54,7 @@
   if (request.only_upstream && *request.only_upstream != index) return false;
   if (requirements.leader_only && leader_index() != index) return false;
   if (requirements.excluded >> (index % 64) & 1U) return false;
-  return usable(*upstreams_[index]);
+  return may_use(*upstreams_[index], requirements);
 }
 
 bool upstream_group::is_opening_for(const link_request& request) const {
