End the loss of the store by a call only

Cause: an instance counted as cut off from the store only while its lease was younger than 1.5 s, which behind hubs it often is not. Change: the state lasts until a call of the instance succeeds. While the store is down for all, the leases end for all within the same time, so no order of readers changes.

--- a/src/proxy/peer-service.cc
+++ b/src/proxy/peer-service.cc
@@ -341,13 +341,11 @@
              (mesh ? store_timeout : store_timeout_behind_hubs);
 }
 
-// Others reach the store, since they confirm the leader records, but this
-// instance does not. It would miss the changes that it reads for its failure
-// domain. While the store is down for all, no other reader is better.
-bool peer_service::cut_off_from_store() const {
-  instant now = state_.loop.now();
-  return state_.contact.lost(now) && state_.leader_leases.confirmed() &&
-         state_.leader_leases.age(now) < store_timeout;
+// An instance that is cut off from the store keeps the confirmations of others,
+// but would miss the changes that it reads for its failure domain. The end of
+// the confirmations must not end this state, or two readers take turns.
+bool peer_service::can_not_read_store() const {
+  return lacks_store() || state_.contact.lost(state_.loop.now());
 }
 
 // Strictly increasing, even while the clock does not advance.
@@ -357,7 +355,7 @@
 }
 
 void peer_service::tick() {
-  peers_.set_lacks_store(lacks_store() || cut_off_from_store());
+  peers_.set_lacks_store(can_not_read_store());
   update_role();
   update_members();
   choose_probers();
@@ -428,7 +426,7 @@
   out.domain = short_hash(state_.settings.domain.value);
   out.leaving = state_.stopping;
   out.levels_settled = state_.rate_limits.settled(now);
-  out.lacks_store = lacks_store() || cut_off_from_store();
+  out.lacks_store = can_not_read_store();
   out.wants_reply = lacks_store() && !options.is_reply;
   out.capacity = state_.settings.cpu_millicores;
   out.known_peers = static_cast<std::uint32_t>(peers_.all().size());
--- a/src/proxy/peer-service.h
+++ b/src/proxy/peer-service.h
@@ -173,7 +173,7 @@
   void send(const std::string& body, std::uint64_t echo,
             const inet_address& to);
   bool lacks_store() const;
-  bool cut_off_from_store() const;
+  bool can_not_read_store() const;
   std::uint64_t next_stamp();
 
   proxy_state& state_;
