--- a/review/standin/client.h
+++ b/review/standin/client.h
@@ -17,7 +17,8 @@
     char state = 'I';
   };
 
-  client(world& setting, std::string name) : world_(setting), name_(std::move(name)) {}
+  client(world& setting, std::string name)
+      : world_(setting), name_(std::move(name)) {}
 
   bool connected() const { return stream_ && !stream_->closed() && opened_; }
   bool outstanding() const { return static_cast<bool>(on_answer_); }
@@ -25,7 +26,8 @@
   double last_sent_ms() const { return sent_ms_; }
 
   /// @param done is called with false if the session was refused or ended.
-  void connect(const world::proxy& to, const std::string& database, std::function<void(bool)> done) {
+  void connect(const world::proxy& to, const std::string& database,
+               std::function<void(bool)> done) {
     opened_ = false;
     stream_ = world_.loop.connect(to.ip, to.frontend);
     stream_->output = "CONNECT " + database + " key-1\r\n";
@@ -50,7 +52,8 @@
     sent_ms_ = now_ms();
     on_answer_ = std::move(done);
     answer_ = {};
-    if (world_.log_statements) world_.log("%s sends %s", id_.c_str(), text.c_str());
+    if (world_.log_statements)
+      world_.log("%s sends %s", id_.c_str(), text.c_str());
     stream_->output += "QUERY " + id_ + ' ' + text + "\r\n";
   }
 
@@ -78,8 +81,10 @@
     }
     answer_.complete = true;
     answer_.state = rest.empty() ? 'I' : rest[0];
-    if (world_.log_statements || !answer_.error.empty()) world_.log("%s answered %s after %.0f ms", id_.c_str(), answer_.error.empty() ? "DONE" : answer_.error.c_str(),
-               now_ms() - sent_ms_);
+    if (world_.log_statements || !answer_.error.empty())
+      world_.log("%s answered %s after %.0f ms", id_.c_str(),
+                 answer_.error.empty() ? "DONE" : answer_.error.c_str(),
+                 now_ms() - sent_ms_);
     finish(answer_);
   }
 
@@ -90,7 +95,8 @@
       return done(false);
     }
     if (!on_answer_) return;
-    world_.log("%s connection ended without an answer after %.0f ms", id_.c_str(), now_ms() - sent_ms_);
+    world_.log("%s connection ended without an answer after %.0f ms",
+               id_.c_str(), now_ms() - sent_ms_);
     finish({});
   }
 
--- a/review/standin/database.h
+++ b/review/standin/database.h
@@ -20,17 +20,21 @@
     std::string text;
   };
 
-  database(loop& events, const std::string& ip, std::string id, std::string service)
+  database(loop& events, const std::string& ip, std::string id,
+           std::string service)
       : loop_(events), id_(std::move(id)), service_(std::move(service)) {
     address_ = ip + ':' +
-               std::to_string(loop_.listen(ip, [this](connection_ptr accepted) { accept(accepted); }));
+               std::to_string(loop_.listen(
+                   ip, [this](connection_ptr accepted) { accept(accepted); }));
   }
 
   const std::string& id() const { return id_; }
   const std::string& address() const { return address_; }
   /// Statements with a client's id that took a slot.
   const std::vector<run>& runs() const { return runs_; }
-  bool received(const std::string& statement) const { return received_.contains(statement); }
+  bool received(const std::string& statement) const {
+    return received_.contains(statement);
+  }
 
   bool is_primary = false;
   std::uint64_t term = 1;
@@ -57,12 +61,15 @@
       if (auto each = weak.lock()) handle_input(each);
     };
     sessions_.push_back(opened);
-    std::erase_if(sessions_, [](const auto& each) { return each->stream->closed(); });
+    std::erase_if(sessions_,
+                  [](const auto& each) { return each->stream->closed(); });
   }
 
   void handle_input(const session_ptr& from) {
     std::string line;
-    while (!from->busy && !from->stream->closed() && next_line(*from->stream, line)) handle_line(from, line);
+    while (!from->busy && !from->stream->closed() &&
+           next_line(*from->stream, line))
+      handle_line(from, line);
   }
 
   void handle_line(const session_ptr& from, std::string rest) {
@@ -92,8 +99,9 @@
     if (verb == "AFTER") {
       auto position = pop_word(rest);
       auto dot = position.find('.');
-      std::pair<std::uint64_t, std::uint64_t> required(std::stoull(position.substr(0, dot)),
-                                                        std::stoull(position.substr(dot + 1)));
+      std::pair<std::uint64_t, std::uint64_t> required(
+          std::stoull(position.substr(0, dot)),
+          std::stoull(position.substr(dot + 1)));
       if (std::pair(term, log_end) < required) return fail(*from, "LAGGING");
       text = rest;
       verb = pop_word(rest);
@@ -119,9 +127,11 @@
     bool takes_slot = verb == "FETCH" || verb == "PUT" || verb == "COMMIT";
     if (!takes_slot) return done(*from);
     bool needs_lead = verb == "PUT" || (verb == "COMMIT" && from->wrote);
-    if (needs_lead && (!is_primary || from->read_only)) return fail(*from, "READONLY");
+    if (needs_lead && (!is_primary || from->read_only))
+      return fail(*from, "READONLY");
     from->busy = true;
-    waiting_.push_back([this, from, id, text, verb] { run_statement(from, id, text, verb); });
+    waiting_.push_back(
+        [this, from, id, text, verb] { run_statement(from, id, text, verb); });
     start_waiting();
   }
 
@@ -134,8 +144,8 @@
     }
   }
 
-  void run_statement(const session_ptr& from, const std::string& id, const std::string& text,
-                     const std::string& verb) {
+  void run_statement(const session_ptr& from, const std::string& id,
+                     const std::string& text, const std::string& verb) {
     if (from->stream->closed()) {
       --in_use_;
       return;
@@ -151,7 +161,8 @@
   }
 
   void finish_statement(session& from, const std::string& verb) {
-    bool commits = (verb == "PUT" && from.state == 'I') || (verb == "COMMIT" && from.wrote);
+    bool commits = (verb == "PUT" && from.state == 'I') ||
+                   (verb == "COMMIT" && from.wrote);
     if (commits) ++log_end;
     if (verb == "PUT" && from.state == 'T') from.wrote = true;
     if (verb == "COMMIT") from.state = 'I';
@@ -161,8 +172,10 @@
   }
 
   void status(session& to) {
-    to.stream->output += std::string("ROW ") + (is_primary ? "primary" : "replica") + ' ' + std::to_string(term) + ' ' +
-                         position() + " 0 0 " + std::to_string(in_use_) + " 1\r\n";
+    to.stream->output += std::string("ROW ") +
+                         (is_primary ? "primary" : "replica") + ' ' +
+                         std::to_string(term) + ' ' + position() + " 0 0 " +
+                         std::to_string(in_use_) + " 1\r\n";
     done(to);
   }
   void done(session& to) {
@@ -174,8 +187,13 @@
     if (to.state == 'T') to.state = 'E';
     ready(to);
   }
-  void ready(session& to) { to.stream->output += std::string("READY ") + to.state + ' ' + position() + "\r\n"; }
-  std::string position() const { return std::to_string(term) + '.' + std::to_string(log_end); }
+  void ready(session& to) {
+    to.stream->output +=
+        std::string("READY ") + to.state + ' ' + position() + "\r\n";
+  }
+  std::string position() const {
+    return std::to_string(term) + '.' + std::to_string(log_end);
+  }
 
   loop& loop_;
   std::string id_;
--- a/review/standin/entry.cc
+++ b/review/standin/entry.cc
@@ -19,7 +19,8 @@
   void start() {
     auto& at = world_.proxies[proxy_++ % world_.proxies.size()];
     ++sent_;
-    client_.connect(at, "bounded-route", [this](bool opened) { opened ? next() : retry(); });
+    client_.connect(at, "bounded-route",
+                    [this](bool opened) { opened ? next() : retry(); });
   }
   /// Statements, or attempts to open a session for one, since `reset_counts`.
   unsigned sent() const { return sent_; }
@@ -59,14 +60,17 @@
   }
   std::vector<std::unique_ptr<user>> users;
   for (int i = 0; i < user_count; ++i) {
-    users.push_back(std::make_unique<user>(setting, "u" + std::to_string(i), static_cast<std::size_t>(i)));
+    users.push_back(std::make_unique<user>(setting, "u" + std::to_string(i),
+                                           static_cast<std::size_t>(i)));
     users.back()->start();
   }
   auto count = [&](const std::string& when) {
     unsigned sent = 0;
     unsigned served = 0;
-    for (auto& each : users) sent += each->sent(), served += each->served(), each->reset_counts();
-    setting.say(when + ": sent " + std::to_string(sent) + ", served " + std::to_string(served));
+    for (auto& each : users)
+      sent += each->sent(), served += each->served(), each->reset_counts();
+    setting.say(when + ": sent " + std::to_string(sent) + ", served " +
+                std::to_string(served));
     return sent > 0 ? static_cast<double>(served) / sent : 0.0;
   };
   setting.loop.run_for(5 * second);
@@ -76,8 +80,9 @@
     // Valid JSON. The value has bytes that are no text: a writer that can't
     // decode them escapes each one as U+DC00 plus the byte.
     setting.log("another writer adds servers/x-9");
-    setting.platform.put("servers", "x-9",
-                         R"({"service":"\udcff\udcfe\udc80","addr":7,"state":"ready","seq":"one"})");
+    setting.platform.put(
+        "servers", "x-9",
+        R"({"service":"\udcff\udcfe\udc80","addr":7,"state":"ready","seq":"one"})");
   }
   setting.loop.run_for(5 * second);
   count("with the entry, before the kill");
@@ -90,8 +95,10 @@
   setting.loop.run_for(8 * second);
   double after = count("later than recovery_s after the start");
   int ready = 0;
-  for (auto& each : setting.proxies) setting.ask_ready(each, [&](int status) { ready += status == 200; });
+  for (auto& each : setting.proxies)
+    setting.ask_ready(each, [&](int status) { ready += status == 200; });
   setting.loop.run_for(900);
-  setting.say("proxies that are ready: " + std::to_string(ready) + " of " + std::to_string(setting.proxies.size()));
+  setting.say("proxies that are ready: " + std::to_string(ready) + " of " +
+              std::to_string(setting.proxies.size()));
   return after < 0.25 ? 1 : 0;
 }
--- a/review/standin/loop.h
+++ b/review/standin/loop.h
@@ -67,10 +67,12 @@
   /// Listens on a free port of the address and returns that port.
   std::uint16_t listen(const std::string& ip,
                        std::function<void(connection_ptr)> on_accept) {
-    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     auto address = make_address(ip, 0);
     if (descriptor < 0 ||
-        bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
+        bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+             sizeof(address)) != 0 ||
         ::listen(descriptor, 256) != 0)
       throw std::runtime_error("can't listen on " + ip);
     socklen_t size = sizeof(address);
@@ -82,10 +84,12 @@
   /// Starts to connect; `on_closed` follows if that fails.
   connection_ptr connect(const std::string& ip, std::uint16_t port) {
     auto out = std::make_shared<connection>();
-    out->descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    out->descriptor =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     set_no_delay(out->descriptor);
     auto address = make_address(ip, port);
-    ::connect(out->descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::connect(out->descriptor, reinterpret_cast<sockaddr*>(&address),
+              sizeof(address));
     connections_.push_back(out);
     return out;
   }
@@ -112,10 +116,12 @@
       timers_.erase(timers_.begin());
       callback();
     }
-    std::erase_if(connections_, [](const auto& each) { return each->closed(); });
+    std::erase_if(connections_,
+                  [](const auto& each) { return each->closed(); });
     auto current = connections_;
     std::vector<pollfd> polled;
-    for (const auto& each : listeners_) polled.push_back({each.descriptor, POLLIN, 0});
+    for (const auto& each : listeners_)
+      polled.push_back({each.descriptor, POLLIN, 0});
     for (const auto& each : current) {
       short events = POLLIN;
       if (!each->output.empty() || each->finishing) events |= POLLOUT;
@@ -136,7 +142,8 @@
 
   void accept_all(const listener& from) {
     for (;;) {
-      int descriptor = accept4(from.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int descriptor = accept4(from.descriptor, nullptr, nullptr,
+                               SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (descriptor < 0) return;
       set_no_delay(descriptor);
       auto accepted = std::make_shared<connection>();
@@ -149,7 +156,8 @@
   static void handle(connection& target, short events) {
     if ((events & POLLOUT) != 0) {
       if (!target.output.empty()) {
-        auto count = send(target.descriptor, target.output.data(), target.output.size(), MSG_NOSIGNAL);
+        auto count = send(target.descriptor, target.output.data(),
+                          target.output.size(), MSG_NOSIGNAL);
         if (count > 0) target.output.erase(0, static_cast<std::size_t>(count));
         if (count < 0 && errno != EAGAIN) return end(target);
       }
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -22,21 +22,27 @@
   };
 
   store(loop& events, const std::string& ip) : loop_(events) {
-    port_ = loop_.listen(ip, [this](connection_ptr accepted) { accept(accepted); });
+    port_ =
+        loop_.listen(ip, [this](connection_ptr accepted) { accept(accepted); });
   }
 
   std::uint16_t port() const { return port_; }
   /// Writes an object; `spec` is JSON text, kept as it is.
-  void put(const std::string& kind, const std::string& name, const std::string& spec) {
+  void put(const std::string& kind, const std::string& name,
+           const std::string& spec) {
     objects_[kind][name] = {spec, ++revision_};
-    changes_.push_back({kind, revision_, "{\"removed\":false,\"object\":" + body(kind, name) + "}"});
+    changes_.push_back(
+        {kind, revision_,
+         "{\"removed\":false,\"object\":" + body(kind, name) + "}"});
     answer_watches();
   }
   void remove(const std::string& kind, const std::string& name) {
     if (objects_[kind].erase(name) == 0) return;
     ++revision_;
-    changes_.push_back({kind, revision_, "{\"removed\":true,\"object\":{\"meta\":{\"name\":\"" + name +
-                                             "\",\"revision\":" + std::to_string(revision_) + "}}}"});
+    changes_.push_back(
+        {kind, revision_,
+         "{\"removed\":true,\"object\":{\"meta\":{\"name\":\"" + name +
+             "\",\"revision\":" + std::to_string(revision_) + "}}}"});
     answer_watches();
   }
   /// Called for each failover call; returns the status of the answer, or 0 to
@@ -61,7 +67,8 @@
     std::uint64_t since;
   };
 
-  static std::string query_value(const std::string& target, const std::string& name) {
+  static std::string query_value(const std::string& target,
+                                 const std::string& name) {
     auto start = target.find(name + '=');
     if (start == std::string::npos) return {};
     start += name.size() + 1;
@@ -69,11 +76,14 @@
   }
   std::string body(const std::string& kind, const std::string& name) {
     const auto& stored = objects_[kind][name];
-    return "{\"meta\":{\"name\":\"" + name + "\",\"revision\":" + std::to_string(stored.revision) +
+    return "{\"meta\":{\"name\":\"" + name +
+           "\",\"revision\":" + std::to_string(stored.revision) +
            "},\"spec\":" + stored.spec + "}";
   }
   static void reply(connection& to, int status, const std::string& text) {
-    to.output += "HTTP/1.1 " + std::to_string(status) + " -\r\nStore-Era: 0\r\nContent-Type: application/json\r\nContent-Length: " +
+    to.output += "HTTP/1.1 " + std::to_string(status) +
+                 " -\r\nStore-Era: 0\r\nContent-Type: "
+                 "application/json\r\nContent-Length: " +
                  std::to_string(text.size()) + "\r\n\r\n" + text;
   }
 
@@ -91,7 +101,8 @@
       auto head = from->input.substr(0, end + 2);
       std::size_t length = 0;
       auto field = head.find("Content-Length: ");
-      if (field != std::string::npos) length = std::stoul(head.substr(field + 16));
+      if (field != std::string::npos)
+        length = std::stoul(head.substr(field + 16));
       if (from->input.size() < end + 4 + length) return;
       auto text = from->input.substr(end + 4, length);
       from->input.erase(0, end + 4 + length);
@@ -108,14 +119,17 @@
     return head.substr(start, head.find("\r\n", start) - start);
   }
 
-  void serve(const connection_ptr& from, const std::string& method, const std::string& target,
-             const std::string& head, const std::string& text) {
+  void serve(const connection_ptr& from, const std::string& method,
+             const std::string& target, const std::string& head,
+             const std::string& text) {
     using nlohmann::json;
     if (silent) return;
     if (target == "/failover") {
       auto request = json::parse(text);
-      promotion call{request.at("service"), request.at("id"), header(head, "Toucanmux-Lease-Holder"),
-                     std::stoull(header(head, "Toucanmux-Fence-Token")), now_ms()};
+      promotion call{request.at("service"), request.at("id"),
+                     header(head, "Toucanmux-Lease-Holder"),
+                     std::stoull(header(head, "Toucanmux-Fence-Token")),
+                     now_ms()};
       int status = on_promotion ? on_promotion(call) : 200;
       if (status != 0) reply(*from, status, "{}");
       return;
@@ -136,13 +150,18 @@
       auto position = std::prev(watches_.end());
       open_watches_.insert(&*position);
       auto* key = &*position;
-      loop_.call_in(std::stod(query_value(target, "wait_ms")), [this, key] { end_watch(key); });
+      loop_.call_in(std::stod(query_value(target, "wait_ms")),
+                    [this, key] { end_watch(key); });
       return answer_watches();
     }
     if (method == "GET") {
       std::string items;
-      for (const auto& [each, stored] : objects) items += (items.empty() ? "" : ",") + body(kind, each);
-      return reply(*from, 200, "{\"items\":[" + items + "],\"more\":false,\"store_revision\":" + std::to_string(revision_) + "}");
+      for (const auto& [each, stored] : objects)
+        items += (items.empty() ? "" : ",") + body(kind, each);
+      return reply(*from, 200,
+                   "{\"items\":[" + items +
+                       "],\"more\":false,\"store_revision\":" +
+                       std::to_string(revision_) + "}");
     }
     if (method == "DELETE") {
       remove(kind, name);
@@ -154,7 +173,9 @@
     auto found = objects.find(name);
     bool exists = found != objects.end();
     auto revision = request["meta"].value("revision", std::uint64_t{0});
-    bool conflict = creates ? exists : !exists || (revision != 0 && revision != found->second.revision);
+    bool conflict = creates ? exists
+                            : !exists || (revision != 0 &&
+                                          revision != found->second.revision);
     if (conflict) return reply(*from, 409, exists ? body(kind, name) : "{}");
     put(kind, name, request["spec"].dump());
     reply(*from, 200, body(kind, name));
@@ -165,13 +186,16 @@
     for (auto at = watches_.begin(); at != watches_.end();) {
       std::string events;
       for (const auto& each : changes_) {
-        if (each.kind == at->kind && each.revision > at->since) events += (events.empty() ? "" : ",") + each.body;
+        if (each.kind == at->kind && each.revision > at->since)
+          events += (events.empty() ? "" : ",") + each.body;
       }
       if (events.empty()) {
         ++at;
         continue;
       }
-      reply(*at->to, 200, "{\"events\":[" + events + "],\"store_revision\":" + std::to_string(revision_) + "}");
+      reply(*at->to, 200,
+            "{\"events\":[" + events +
+                "],\"store_revision\":" + std::to_string(revision_) + "}");
       open_watches_.erase(&*at);
       at = watches_.erase(at);
     }
@@ -181,7 +205,9 @@
     if (silent || open_watches_.erase(key) == 0) return;
     for (auto at = watches_.begin(); at != watches_.end(); ++at) {
       if (&*at != key) continue;
-      reply(*at->to, 200, "{\"events\":[],\"store_revision\":" + std::to_string(at->since) + "}");
+      reply(*at->to, 200,
+            "{\"events\":[],\"store_revision\":" + std::to_string(at->since) +
+                "}");
       watches_.erase(at);
       return;
     }
--- a/review/standin/term.cc
+++ b/review/standin/term.cc
@@ -55,7 +55,8 @@
       if (ends) step_ = 0;
       if (!result.error.empty() && result.state != 'I') return client_.close();
       if (!result.error.empty()) step_ = 0;
-      double pause = transactions_ ? (ends ? draw(20, 60) : draw(50, 250)) : draw(1, 5);
+      double pause =
+          transactions_ ? (ends ? draw(20, 60) : draw(50, 250)) : draw(1, 5);
       world_.loop.call_in(pause, [this] { next(); });
     });
   }
@@ -88,8 +89,10 @@
   std::vector<std::unique_ptr<user>> users;
   for (int i = 0; i < reader_count + transaction_count; ++i) {
     bool transactions = i >= reader_count;
-    users.push_back(std::make_unique<user>(setting, (transactions ? "t" : "r") + std::to_string(i), transactions));
-    setting.loop.call_in(draw(0, 2 * second), [&, i] { users[i]->start(target); });
+    users.push_back(std::make_unique<user>(
+        setting, (transactions ? "t" : "r") + std::to_string(i), transactions));
+    setting.loop.call_in(draw(0, 2 * second),
+                         [&, i] { users[i]->start(target); });
   }
   // Longer than quiet_ms, so that the machine is in touch.
   setting.loop.run_for(8 * second);
@@ -102,7 +105,8 @@
   double term_at = now_ms();
   if (with_trouble()) setting.signal(target, SIGTERM);
   auto killed_at = term_at + world::grace_s * second;
-  while (now_ms() < killed_at && setting.running(target)) setting.loop.run_for(20);
+  while (now_ms() < killed_at && setting.running(target))
+    setting.loop.run_for(20);
   double ended_at = now_ms();
   bool ended = !setting.running(target);
   // Without the stop, the users end their operations.
@@ -115,18 +119,27 @@
     if (!each->cut_off()) continue;
     const auto& id = each->session().last_id();
     double sent = each->session().last_sent_ms();
-    bool at_database = std::any_of(setting.databases.begin(), setting.databases.end(),
-                                   [&](const auto& database) { return database->received(id); });
+    bool at_database = std::any_of(
+        setting.databases.begin(), setting.databases.end(),
+        [&](const auto& database) { return database->received(id); });
     double cut_at = each->cut_off_at_ms();
-    bool early = sent - term_at <= 3 * second && cut_at - term_at >= world::grace_s * second * 5 / 6;
+    bool early = sent - term_at <= 3 * second &&
+                 cut_at - term_at >= world::grace_s * second * 5 / 6;
     bool timed_out = cut_at - sent >= 2 * second;
     bool counts = at_database && !early && !timed_out;
     counts ? ++lost : ++excused;
-    setting.log("%s: sent %.0f ms after SIGTERM, cut off %.0f ms later, passed on to a database: %s, counts: %s", id.c_str(),
-                sent - term_at, cut_at - sent, at_database ? "yes" : "no", counts ? "yes" : "no");
+    setting.log(
+        "%s: sent %.0f ms after SIGTERM, cut off %.0f ms later, passed on to a "
+        "database: %s, counts: %s",
+        id.c_str(), sent - term_at, cut_at - sent, at_database ? "yes" : "no",
+        counts ? "yes" : "no");
   }
-  setting.say("process ended " + (ended ? std::to_string(static_cast<int>(ended_at - term_at)) + " ms after SIGTERM" : std::string("not")) +
-              "; statements passed on to a database and cut off without an answer: " + std::to_string(lost) +
-              ", excused: " + std::to_string(excused));
+  setting.say(
+      "process ended " +
+      (ended ? std::to_string(static_cast<int>(ended_at - term_at)) +
+                   " ms after SIGTERM"
+             : std::string("not")) +
+      "; statements passed on to a database and cut off without an answer: " +
+      std::to_string(lost) + ", excused: " + std::to_string(excused));
   return lost > 0 ? 1 : 0;
 }
