Send no statement that a planned stop would cut off

Cause: nothing in the path of a statement knew of the stop. A session was closed only if it was idle at one of the ticks, 200 ms apart, and an open transaction went on without a limit, until the loop ended at a fixed time. All statements that were cut off had been sent less than 0.2 s before that, so ending later would have cut off others.

stop_schedule decides which work a stopping process accepts: no operations after the notice, and from half of the timeout on only statements whose time limit ends before the process does. Callers get a promise that nothing ran, and transactions that can't go on are rolled back. What is unanswered at the end is answered by whether its outcome is known. Related paths with the same cause are mended with it: a statement that waits in the buffer of its session, one behind a slow begin, and the transactions that an owner of shared connections relays.

A session is closed 20 ms after its last answer, not with it: a statement that crossed the close would get no answer and no promise.

--- a/include/toucanmux/proxy/admission/refusal-reason.h
+++ b/include/toucanmux/proxy/admission/refusal-reason.h
@@ -37,10 +37,11 @@
   transaction_lost,  ///< The transaction's connection was lost.
   roll_back_first,
   unknown_prepared,
-  unknown_statement
+  unknown_statement,
+  instance_stops
 };
 
-inline constexpr std::size_t refusal_reason_count = 30;
+inline constexpr std::size_t refusal_reason_count = 31;
 
 /// The text that callers and the log get.
 std::string_view text_of(refusal_reason reason);
--- a/src/proxy/admission/refusal-reason.cc
+++ b/src/proxy/admission/refusal-reason.cc
@@ -43,6 +43,7 @@
     {"roll_back_first", "roll back first"},
     {"unknown_prepared", "no such prepared name"},
     {"unknown_statement", "unknown statement"},
+    {"instance_stops", "this instance stops"},
 }};
 
 }  // namespace
--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -56,10 +56,7 @@
   }
   statement_.first_in_transaction = !transaction_started_;
   statement_.arrived_at = state_.loop.now();
-  auto timeout = route_.statement_timeout > duration{0}
-                     ? route_.statement_timeout
-                     : default_timeout;
-  statement_.deadline = statement_.arrived_at + timeout;
+  statement_.deadline = statement_.arrived_at + statement_timeout();
   running_ = true;
   requirements = {};
   if (!key_is_valid()) {
@@ -74,6 +71,11 @@
   try_upstream();
 }
 
+duration client_session::statement_timeout() const {
+  return route_.statement_timeout > duration{0} ? route_.statement_timeout
+                                                : default_timeout;
+}
+
 bool client_session::leads(const upstream_link& link) const {
   const upstream_group* group = state_.find_group(route_.group);
   return group && group->leads(link.upstream());
@@ -114,6 +116,7 @@
   upstream_group* group = state_.find_group(route_.group);
   if (!group)
     return fail_statement(failure_kind::busy, refusal_reason::no_group);
+  if (!may_send()) return refuse_for_stop();
   if (link_) return send(*link_);
   requirements.leader_only = needs_leader() || !required_position();
   requirements.regions = regions_.restricted() ? &regions_ : nullptr;
@@ -142,6 +145,7 @@
 void client_session::on_link(upstream_link& link) {
   link_ = &link;
   link.set_user(this);
+  if (!may_send()) return refuse_for_stop();
   if (!key_is_valid()) {
     return fail_statement(failure_kind::busy, refusal_reason::key_withdrawn);
   }
@@ -216,6 +220,7 @@
   const upstream_group* group = state_.find_group(route_.group);
   if (!group || !group->may_begin(link.upstream(), requirements))
     return retry_or_refuse(refusal_reason::domain_drained);
+  if (!may_send()) return refuse_for_stop();
   link.send_statement(statement_.id, {}, statement_.text_after_begin);
   if (transaction_phase_ == phase::none) link.send_rollback();
 }
@@ -458,6 +463,10 @@
     return fail_statement(failure_kind::busy, refusal_reason::no_connection,
                           overload_retry_after);
   }
+  fail_unanswered(refusal_reason::no_answer);
+}
+
+void client_session::fail_unanswered(refusal_reason reason) {
   // An answer that arrives later must not be passed on.
   if (link_ptr late_link = std::move(link_)) {
     link_.reset();
@@ -469,7 +478,7 @@
       is_commit || (statement_.writes && transaction_phase_ == phase::none);
   auto kind =
       may_commit ? failure_kind::outcome_unknown : failure_kind::timed_out;
-  fail_statement(kind, refusal_reason::no_answer);
+  fail_statement(kind, reason);
 }
 
 // Ends the running statement with an error. Releasing the link rolls back an
@@ -477,7 +486,8 @@
 void client_session::fail_statement(failure_kind kind, refusal_reason reason,
                                     duration retry_after) {
   if (is_linked()) unlink();
-  if (state_.contended && retry_after > duration{0})
+  bool depends_on_load = reason != refusal_reason::instance_stops;
+  if (state_.contended && depends_on_load && retry_after > duration{0})
     retry_after = contended_retry_after(reason, retry_after);
   bool is_commit = statement_.verb == statement_verb::commit;
   bool in_transaction = transaction_phase_ != phase::none;
--- /dev/null
+++ b/src/proxy/client-session-stop.cc
@@ -0,0 +1,57 @@
+#include "proxy/client-session.h"
+
+namespace toucanmux {
+
+namespace {
+
+using wire::failure_kind;
+
+// A few round trips to a caller: a statement that crosses the close would get
+// no answer, so it is refused instead.
+constexpr duration min_idle = std::chrono::milliseconds(20);
+
+}  // namespace
+
+void client_session::close_if_idle() {
+  if (state_.loop.now() - answered_at_ < min_idle) return;
+  session_ptr keep(this);
+  if (can_close()) stream_.poll_input();
+  if (!ended_ && opened_ && can_close()) finish();
+}
+
+bool client_session::may_send() const {
+  return state_.stop.accepts_statement(state_.loop.now(), statement_.deadline);
+}
+
+// The next statement of the transaction, or its commit, learns that nothing of
+// it is kept.
+void client_session::end_unsent_work() {
+  session_ptr keep(this);
+  if (running_ && !statement_.sent && !may_send()) return refuse_for_stop();
+  if (running_ || transaction_phase_ != phase::open) return;
+  instant now = state_.loop.now();
+  if (state_.stop.accepts_statement(now, now + statement_timeout())) return;
+  break_transaction("the instance stops");
+  release_link();
+  return_token();
+}
+
+void client_session::give_up() {
+  session_ptr keep(this);
+  if (running_ && statement_.deferred) {
+    fail_statement(failure_kind::outcome_unknown,
+                   refusal_reason::instance_stops);
+  } else if (running_ && statement_.sent) {
+    fail_unanswered(refusal_reason::instance_stops);
+  } else if (running_) {
+    refuse_for_stop();
+  }
+  finish();
+}
+
+void client_session::refuse_for_stop() {
+  fail_statement(failure_kind::busy, refusal_reason::instance_stops,
+                 stop_retry_after);
+}
+
+}  // namespace toucanmux
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -60,6 +60,7 @@
   handling_input_ = false;
   if (ended_) return;
   input.erase(0, consumed);
+  if (refused_for_stop_ && can_close()) return finish();
   if (input.size() <= max_unread) return;
   wire::write_failure(stream_.output(), failure_kind::too_big,
                       "line of more than 1 MiB", duration{0});
@@ -85,19 +86,7 @@
   database_ = request.database;
   key_ = request.key;
   const fleet_config& config = *state_.config;
-  std::optional<refusal> refused;
-  if (config.version() == 0) {
-    refused = refusal{failure_kind::busy, refusal_reason::no_configuration,
-                      unconfirmed_retry_after};
-  } else if (const route* known_route = config.find_route(database_)) {
-    if (!known_route->open_to_all && !config.find_team_by_key(key_)) {
-      refused = refusal{failure_kind::unknown_key, refusal_reason::unknown_key};
-    }
-  } else {
-    refused = refusal{failure_kind::unknown_database,
-                      refusal_reason::unknown_database};
-  }
-  if (refused) {
+  if (auto refused = check_open()) {
     wire::write_failure(stream_.output(), refused->kind,
                         text_of(refused->reason), refused->retry_after);
     state_.metrics.refusals().count(refused->reason, {}, anonymous_team,
@@ -111,6 +100,23 @@
   stream_.schedule_flush();
 }
 
+std::optional<client_session::refusal> client_session::check_open() const {
+  const fleet_config& config = *state_.config;
+  if (!state_.stop.accepts_operations(state_.loop.now()))
+    return refusal{failure_kind::busy, refusal_reason::instance_stops,
+                   stop_retry_after};
+  if (config.version() == 0)
+    return refusal{failure_kind::busy, refusal_reason::no_configuration,
+                   unconfirmed_retry_after};
+  const route* known_route = config.find_route(database_);
+  if (!known_route)
+    return refusal{failure_kind::unknown_database,
+                   refusal_reason::unknown_database};
+  if (!known_route->open_to_all && !config.find_team_by_key(key_))
+    return refusal{failure_kind::unknown_key, refusal_reason::unknown_key};
+  return {};
+}
+
 void client_session::handle_statement(const session_statement& statement) {
   last_statement_id_ = statement.id;
   bool ends_transaction = statement.verb == statement_verb::rollback ||
@@ -220,6 +226,11 @@
 
 // Looks up the route and the key's team; both are kept for the whole operation.
 std::optional<client_session::refusal> client_session::begin_operation() {
+  if (!state_.stop.accepts_operations(state_.loop.now())) {
+    refused_for_stop_ = true;
+    return refusal{failure_kind::busy, refusal_reason::instance_stops,
+                   stop_retry_after};
+  }
   const fleet_config& config = *state_.config;
   const route* found = config.find_route(database_);
   if (!found)
@@ -305,6 +316,7 @@
 void client_session::reply_ready(const std::optional<log_position>& position) {
   wire::write_ready(stream_.output(), reported_state(), position);
   stream_.schedule_flush();
+  answered_at_ = state_.loop.now();
 }
 
 void client_session::log_refusal(std::string_view id, const refusal& refused) {
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -37,10 +37,22 @@
  public:
   client_session(proxy_state& state, session_owner& owner, int descriptor);
 
-  /// True if neither a statement runs nor a transaction is open.
+  /// True if no statement was received without being answered, and no
+  /// transaction is open.
   bool can_close() const {
-    return !running_ && transaction_phase_ == phase::none;
+    return !running_ && transaction_phase_ == phase::none &&
+           stream_.unread().empty();
   }
+  bool running() const { return running_; }
+  bool in_transaction() const { return transaction_phase_ != phase::none; }
+  /// Closes the session if it can be closed, unless the caller may have sent a
+  /// statement right after the last answer.
+  void close_if_idle();
+  /// While the instance stops: refuses a statement that waits and can't be sent
+  /// any more, and ends a transaction whose next statement can't be.
+  void end_unsent_work();
+  /// Answers a running statement without its result, and ends the session.
+  void give_up();
   /// Ends the session; answers that are already written are still sent.
   void finish();
 
@@ -56,6 +68,8 @@
   /// Retry delay sent to callers while the configuration is not confirmed; by
   /// then the store or a peer has usually answered again.
   static constexpr duration unconfirmed_retry_after = std::chrono::seconds(1);
+  /// Sent to callers while this instance stops: others take the operation.
+  static constexpr duration stop_retry_after = std::chrono::milliseconds(10);
 
   enum class phase : std::uint8_t {
     none,
@@ -102,6 +116,7 @@
   void handle_close_prepared(const session_statement& statement);
   void handle_query(const session_statement& statement);
 
+  std::optional<refusal> check_open() const;
   std::optional<refusal> begin_operation();
   std::optional<refusal> check_key(const route& current_route);
   bool key_is_valid();
@@ -111,6 +126,7 @@
   void return_token();
   void start_statement(const session_statement& statement);
   void try_upstream();
+  duration statement_timeout() const;
   bool deadline_reached() const;
   void send(upstream_link& link);
   void send_with_begin(upstream_link& link, std::string_view text);
@@ -134,6 +150,9 @@
   void release_link();
   void on_timer();
   void on_deadline();
+  void fail_unanswered(refusal_reason reason);
+  bool may_send() const;
+  void refuse_for_stop();
   bool may_rerun() const;
   void retry_elsewhere(upstream_link& link, std::string_view reason);
   bool may_retry_read() const;
@@ -158,6 +177,8 @@
   bool opened_ = false;
   bool ended_ = false;
   bool handling_input_ = false;
+  bool refused_for_stop_ = false;  ///< An operation; the session ends.
+  instant answered_at_;
   std::string database_;
   std::string key_;
   session_values values_;
--- a/src/proxy/connections/relay-session.cc
+++ b/src/proxy/connections/relay-session.cc
@@ -148,10 +148,29 @@
   }
   bool was_refused = !link_ && !acquire();
   if (was_refused) return !is_linked();
+  bool ends_transaction = verb == statement_verb::rollback;
+  if (!ends_transaction && !may_send()) {
+    if (outstanding_ > 0) return false;
+    refuse_for_stop();
+    return true;
+  }
   if (link_) forward(relayed);
   return true;
 }
 
+// The sender alone knows when the statement ends.
+bool relay_session::may_send() const {
+  return state_.stop.accepts_statement(state_.loop.now(), instant::max());
+}
+
+// Releasing the connection rolls the transaction back.
+void relay_session::refuse_for_stop() {
+  timer_.disarm();
+  transaction_ = transaction_state::idle;
+  release_if_unused();
+  refuse({failure_kind::wrong_upstream, "this instance leaves"});
+}
+
 void relay_session::apply_values(const wire::relayed_statement& relayed) {
   const auto& statement = relayed.statement;
   if (relayed.is_reset) {
--- a/src/proxy/connections/relay-session.h
+++ b/src/proxy/connections/relay-session.h
@@ -54,6 +54,8 @@
   void apply_values(const wire::relayed_statement& relayed);
   bool acquire();
   std::optional<refusal> check_use();
+  bool may_send() const;
+  void refuse_for_stop();
   void use(upstream_link& link);
   void forward(const wire::relayed_statement& relayed);
   bool forward_prepared(const wire::relayed_statement& relayed);
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -21,16 +21,10 @@
 // All periodic control work runs in one wake-up at this interval.
 constexpr duration tick_interval = milliseconds(200);
 constexpr std::uint16_t metrics_port = 9464;
-// The balancer removes an instance after two failed probes, a second apart.
-constexpr duration drain_notice = milliseconds(2300);
-// Reserved at the end of the shutdown timeout for closing open connections.
-constexpr duration stop_margin = milliseconds(700);
-drain::settings drain_settings() {
-  drain::settings settings;
-  settings.notice = drain_notice;
-  settings.linger = milliseconds(100);
-  return settings;
-}
+// How often a stopping process looks for sessions that it can close.
+constexpr duration stop_interval = milliseconds(20);
+// From the last answer until the process ends, so that the answer is sent.
+constexpr duration drain_linger = milliseconds(100);
 
 }  // namespace
 
@@ -46,8 +40,9 @@
       store_(state_, peers_),
       leaders_(state_, peers_, store_),
       domains_(state_, peers_, store_),
-      drain_(drain_settings()),
+      drain_({}),
       tick_timer_([this] { tick(); }),
+      stop_timer_([this] { advance_stop(); }),
       signals_(std::make_unique<signal_pipe>(
           loop, [this](int number) { handle_signal(number); })),
       readiness_port_(
@@ -124,10 +119,12 @@
   if (number == SIGHUP) return reload();
   if (state_.stopping) return;
   state_.stopping = true;
-  stop_deadline_ = loop_.now() + state_.settings.shutdown_timeout - stop_margin;
+  state_.stop.begin(loop_.now(), state_.settings.shutdown_timeout);
+  drain_ = drain({state_.stop.notice(), drain_linger});
   state_.log.write(journal_kind::process, "stopping",
                    {{"sessions", std::uint64_t{sessions_.size()}}});
   drain_.step(loop_.now(), drain::leave{});
+  loop_.arm_in(stop_timer_, stop_interval);
   peers_.expedite_reports();
   peers_.tick();
 }
@@ -158,7 +155,6 @@
   domains_.tick();
   leaders_.tick();
   peers_.tick();
-  if (state_.stopping) drain_tick();
   tick_due_ = loop_.now() + tick_interval;
   loop_.arm_in(tick_timer_, tick_interval);
 }
@@ -231,29 +227,52 @@
                    {{"age_ms", age}});
 }
 
-void proxy_process::drain_tick() {
-  auto busy_sessions =
-      std::count_if(sessions_.begin(), sessions_.end(),
-                    [](const auto& s) { return !s->can_close(); });
-  auto busy = static_cast<std::uint64_t>(busy_sessions);
-  if (relay_server_) busy += relay_server_->busy_sessions();
-  drain_.step(loop_.now(), drain::work{busy});
-  for (const auto& action : drain_.step(loop_.now(), drain::tick{})) {
-    if (std::holds_alternative<drain::stop_new_work>(action))
-      closing_idle_sessions_ = true;
-    if (std::holds_alternative<drain::completed>(action)) loop_.stop();
-  }
-  if (drain_.state() == drain::phase::finishing) closing_idle_sessions_ = true;
-  if (drain_.state() == drain::phase::drained) loop_.stop();
-  if (closing_idle_sessions_) close_idle_sessions();
-  if (loop_.now() >= stop_deadline_) loop_.stop();
+void proxy_process::advance_stop() {
+  instant now = loop_.now();
+  if (!state_.stop.accepts_operations(now)) close_idle_sessions();
+  end_unsent_work();
+  drain_.step(now, drain::work{busy_sessions()});
+  drain_.step(now, drain::tick{});
+  if (state_.stop.over(now)) give_up_work();
+  bool ended = drain_.state() == drain::phase::drained || state_.stop.over(now);
+  if (ended) return loop_.stop();
+  loop_.arm_in(stop_timer_, stop_interval);
 }
 
 void proxy_process::close_idle_sessions() {
   auto sessions = sessions_;
-  for (const auto& session : sessions) {
-    if (session->can_close()) session->finish();
-  }
+  for (const auto& session : sessions) session->close_if_idle();
+}
+
+void proxy_process::end_unsent_work() {
+  auto sessions = sessions_;
+  for (const auto& session : sessions) session->end_unsent_work();
+}
+
+// Callers learn whether the outcome of their statement is known.
+void proxy_process::give_up_work() {
+  auto count_if = [this](auto predicate) {
+    return static_cast<std::uint64_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), predicate));
+  };
+  auto running = count_if([](const auto& s) { return s->running(); });
+  auto transactions =
+      count_if([](const auto& s) { return s->in_transaction(); });
+  auto relayed = relay_server_ ? relay_server_->busy_sessions() : 0;
+  state_.log.write(journal_kind::process, "work_given_up",
+                   {{"statements", running},
+                    {"transactions", transactions},
+                    {"relayed", std::uint64_t{relayed}}});
+  auto sessions = sessions_;
+  for (const auto& session : sessions) session->give_up();
+}
+
+std::uint64_t proxy_process::busy_sessions() const {
+  auto busy = std::count_if(sessions_.begin(), sessions_.end(),
+                            [](const auto& s) { return !s->can_close(); });
+  auto out = static_cast<std::uint64_t>(busy);
+  if (relay_server_) out += relay_server_->busy_sessions();
+  return out;
 }
 
 void proxy_process::update_connection_shares() {
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -54,8 +54,11 @@
   void update_sharing();
   void start_relay_server();
   void check_leases();
-  void drain_tick();
+  void advance_stop();
   void close_idle_sessions();
+  void end_unsent_work();
+  void give_up_work();
+  std::uint64_t busy_sessions() const;
   void update_connection_shares();
   void update_metrics();
   void update_sharing_metrics(double connections_opened);
@@ -72,11 +75,10 @@
   leader_service leaders_;
   domain_service domains_;
   drain drain_;
-  bool closing_idle_sessions_ = false;
   bool leases_held_ = false;
-  instant stop_deadline_;
   std::list<session_ptr> sessions_;
   timer tick_timer_;
+  timer stop_timer_;
   std::unique_ptr<signal_pipe> signals_;
   http_port readiness_port_;
   std::unique_ptr<http_port> metrics_port_;
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -10,6 +10,7 @@
 #include "proxy/proxy-metrics.h"
 #include "proxy/proxy-settings.h"
 #include "proxy/upstream-group.h"
+#include "toucanmux/process/stop-schedule.h"
 #include "toucanmux/proxy/config-confirmation.h"
 #include "toucanmux/proxy/domain/domain-rules.h"
 #include "toucanmux/proxy/fleet-config.h"
@@ -69,6 +70,7 @@
   std::map<group_id, std::unique_ptr<upstream_group>> groups;
   bool contended = false;  ///< By `is_contended`.
   bool stopping = false;   ///< A signal asked the process to stop.
+  stop_schedule stop;      ///< Begins with that signal.
 };
 
 }  // namespace toucanmux
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -127,6 +127,10 @@
   handle_disconnect();
 }
 
+void tcp_stream::poll_input() {
+  if (open()) receive();
+}
+
 void tcp_stream::flush() {
   if (!connected_) return;
   if (!output_.empty()) {
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -45,6 +45,9 @@
   void schedule_flush();
   /// The bytes received and not yet consumed.
   std::string& input() { return input_; }
+  std::string_view unread() const { return input_; }
+  /// Receives what has arrived since the last event.
+  void poll_input();
   /// Closes the connection after all queued bytes were sent. `on_closed` is
   /// called only if the connection fails or the peer closes it before that.
   void finish();
--- /dev/null
+++ b/test/planned-stop-test.cc
@@ -0,0 +1,161 @@
+#define BOOST_TEST_MODULE planned_stop
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <memory>
+#include <vector>
+
+#include "proxy/proxy-process.h"
+#include "standin/proxy/busy-caller.h"
+#include "standin/proxy/process-fixture.h"
+#include "standin/proxy/session-fixture.h"
+
+using namespace toucanmux;
+using namespace toucanmux::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct stop_fixture : process_fixture {
+  /// Turns the loop until the process stops; databases take a while to answer.
+  void run_until_stopped() {
+    while (!loop.stopped()) {
+      first.defer_answers = true;
+      auto end = boot_time() + 20ms;
+      while (boot_time() < end && !loop.stopped()) loop.turn(5ms);
+      first.send_deferred_answers();
+    }
+    // What the process has sent at its end arrives.
+    process.reset();
+    for (int i = 0; i < 20; ++i) loop.turn(5ms);
+  }
+};
+
+struct stopping_session_fixture : session_fixture {
+  void stop_began(duration ago) { state.stop.begin(loop.now() - ago, 6s); }
+};
+
+// From the signal until operations are refused; until statements are, which
+// take up to 600 ms.
+constexpr duration closing = 2500ms;
+constexpr duration ending = 4900ms;
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(processes, stop_fixture)
+
+// Guards against a stop that passes statements on to databases until the end
+// and then closes their sessions without an answer.
+BOOST_AUTO_TEST_CASE(a_stop_answers_the_statements_of_busy_sessions) {
+  run_until([&] { return ready(); });
+  std::vector<std::unique_ptr<busy_caller>> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.push_back(std::make_unique<busy_caller>(
+        loop, settings.caller_address, i % 2 == 0));
+  }
+  run_until([&] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& caller) {
+      return caller->answered() > 2;
+    });
+  });
+  std::raise(SIGTERM);
+  run_until_stopped();
+  for (const auto& caller : callers) {
+    BOOST_TEST(caller->closed());
+    BOOST_TEST(!caller->cut_off());
+  }
+}
+
+// Guards against a stop that closes a session without saying that the outcome
+// of its statement is unknown.
+BOOST_AUTO_TEST_CASE(a_stop_answers_what_a_database_does_not) {
+  auto config = config_spec(5, "key-1");
+  config.replace(config.find("800"), 3, "9000");
+  store.put("config", "main", config);
+  run_until([&] { return ready(); });
+  auto caller = connect();
+  caller->request("QUERY 1 PUT 1a4 x");
+  first.silent = true;
+  caller->send("QUERY 2 PUT 1a4 y");
+  std::raise(SIGTERM);
+  auto answer = caller->read_answer();
+  BOOST_TEST(starts_with(answer, "ERR UNKNOWN"));
+  run_until([&] { return loop.stopped() && caller->closed(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(sessions, stopping_session_fixture)
+
+// Guards against a stop that holds callers whose work it can't take any more.
+BOOST_AUTO_TEST_CASE(a_stopping_instance_refuses_sessions_and_operations) {
+  auto caller = connect("orders");
+  stop_began(closing);
+  auto late = std::make_unique<line_client>(loop, address());
+  late->send("CONNECT orders key-1");
+  while (!late->closed()) loop.turn(20ms);
+  BOOST_TEST(late->first_line().starts_with("ERR BUSY this instance stops"));
+  BOOST_TEST(caller->request("QUERY 1 PUT 1a4 x")
+                 .starts_with("ERR BUSY this instance stops"));
+  while (!caller->closed()) loop.turn(20ms);
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against a session that is closed while a statement is unanswered in
+// its buffer.
+BOOST_AUTO_TEST_CASE(a_pipelined_statement_is_answered_before_the_close) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 PUT 1a4 x");
+  first.defer_answers = true;
+  caller->send("QUERY 2 PUT 1a4 y");
+  caller->send("QUERY 3 PUT 1a4 z");
+  while (first.log_end < 102) loop.turn(20ms);
+  stop_began(closing);
+  first.send_deferred_answers();
+  BOOST_TEST(caller->read_answer().starts_with("ROW"));
+  BOOST_TEST(caller->read_answer().starts_with("ERR BUSY"));
+  while (!caller->closed()) loop.turn(20ms);
+  BOOST_TEST(first.log_end == 102U);
+}
+
+BOOST_AUTO_TEST_CASE(an_open_transaction_may_end_before_statements_do) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 BEGIN");
+  caller->request("QUERY 2 PUT 1a4 x");
+  stop_began(closing);
+  BOOST_TEST(caller->request("QUERY 3 PUT 1a4 y").starts_with("ROW"));
+  BOOST_TEST(caller->request("QUERY 4 COMMIT").starts_with("DONE"));
+  BOOST_TEST(first.log_end == 101U);
+}
+
+// Guards against a commit that is sent too late for its answer to arrive.
+BOOST_AUTO_TEST_CASE(a_late_commit_is_not_sent) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 BEGIN");
+  caller->request("QUERY 2 PUT 1a4 x");
+  stop_began(ending);
+  BOOST_TEST(caller->request("QUERY 3 COMMIT").starts_with("ERR ABORTED"));
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against a statement that follows its begin after statements have
+// ended.
+BOOST_AUTO_TEST_CASE(a_statement_behind_a_slow_begin_is_not_sent) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 BEGIN");
+  first.defer_begins = true;
+  caller->send("QUERY 2 PUT 1a4 x");
+  auto sent_begin = [&] {
+    return std::any_of(
+        first.received_lines().begin(), first.received_lines().end(),
+        [](const auto& line) { return line.ends_with("QUERY - BEGIN"); });
+  };
+  while (!sent_begin()) loop.turn(20ms);
+  stop_began(ending);
+  first.send_deferred_answers();
+  BOOST_TEST(caller->read_answer().starts_with("ERR ABORTED"));
+  BOOST_TEST(caller->request("QUERY 3 ROLLBACK").starts_with("DONE"));
+  BOOST_TEST(first.executed().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -299,6 +299,18 @@
                          "ERR MOVED"));
 }
 
+// Guards against an owner that ends while a database runs what it has relayed.
+BOOST_AUTO_TEST_CASE(an_owner_that_ends_sends_no_late_statements) {
+  auto caller = connect("orders");
+  caller->request("QUERY 1 BEGIN");
+  caller->request("QUERY 2 PUT 1a4 x");
+  owner.stopping = true;
+  owner.stop.begin(loop.now() - 3500ms, 6s);
+  BOOST_TEST(starts_with(caller->request("QUERY 3 COMMIT"), "ERR ABORTED"));
+  run_until([&] { return server->busy_sessions() == 0; });
+  BOOST_TEST(first.log_end == 100U);
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_owner_refuses_new_uses) {
   auto caller = connect("orders");
   caller->request("QUERY 1 FETCH 1a4");
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -99,6 +99,10 @@
   void begin(bool writes) {
     if (writes && !database_.is_primary) return fail("READONLY");
     transaction_state_ = 'T';
+    if (database_.defer_begins) {
+      database_.deferred_answers_.emplace_back([this] { done(); });
+      return;
+    }
     done();
   }
 
@@ -205,7 +209,7 @@
 }
 
 void line_database::send_deferred_answers() {
-  defer_answers = false;
+  defer_answers = defer_begins = false;
   auto deferred = std::move(deferred_answers_);
   deferred_answers_.clear();
   for (const auto& send : deferred) send();
--- a/test/standin/proxy/line-database.h
+++ b/test/standin/proxy/line-database.h
@@ -49,6 +49,7 @@
   unsigned answers_to_truncate = 0;
   /// Executes statements and keeps their answers until send_deferred_answers().
   bool defer_answers = false;
+  bool defer_begins = false;  ///< The same for the begins of transactions.
   /// Refuses every statement with this error code; empty refuses none.
   std::string error_code;
 
--- a/test/standin/proxy/session-fixture.h
+++ b/test/standin/proxy/session-fixture.h
@@ -35,6 +35,7 @@
   void set_leader(const std::string& database, leadership_phase phase);
   /// Turns the loop for `length`, ticking the group.
   void run_for(duration length);
+  inet_address address() const { return listener_->address(); }
   upstream_group& group() { return *state.groups.begin()->second; }
 
   void on_session_ended(client_session& session) override;
