Read the instances in the platform's list one by one

An instance in the list of toucanmux-entry and toucanmux-pool with a field of another type ended the processes that read the list: the conversion throws, and nothing catches that in the event loop. A list with a number out of range was dropped whole.

Objects are parsed one by one and their fields read by json_fields, which has defaults and never throws; ports out of range count as none. What can't be read is skipped and logged when its number changes. The status and time line of toucanmux-ctl read instances the same way.

--- a/src/process/ctl-commands.cc
+++ b/src/process/ctl-commands.cc
@@ -4,10 +4,11 @@
 #include <QNetworkReply>
 #include <QRandomGenerator>
 #include <algorithm>
+#include <charconv>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "process/json-fields.h"
 #include "request/key-hash.h"
 #include "toucanmux/error.h"
 #include "toucanmux/version/list-codec.h"
@@ -149,10 +150,9 @@
 
 exit_code ctl_commands::status() {
   for (const auto& object : list("instances").objects) {
-    auto json = nlohmann::json::parse(object.value, nullptr, false);
-    if (!json.is_object()) continue;
-    endpoint admin{json.value("address", ""),
-                   json.value("admin_port", std::uint16_t{0})};
+    json_fields instance(object.value);
+    if (!instance.is_object()) continue;
+    endpoint admin{instance.text("address"), instance.port("admin_port")};
     auto page = fetch_page(admin, "/status");
     out_ << object.key << " " << (page.empty() ? "does not answer" : page)
          << "\n";
@@ -163,17 +163,20 @@
 exit_code ctl_commands::timeline(std::span<const std::string> filters) {
   std::vector<std::pair<std::uint64_t, std::string>> lines;
   for (const auto& object : list("instances").objects) {
-    auto json = nlohmann::json::parse(object.value, nullptr, false);
-    if (!json.is_object()) continue;
+    json_fields instance(object.value);
+    if (!instance.is_object()) continue;
     std::istringstream page(fetch_page(
-        {json.value("address", ""), json.value("admin_port", std::uint16_t{0})},
-        "/timeline"));
+        {instance.text("address"), instance.port("admin_port")}, "/timeline"));
     for (std::string line; std::getline(page, line);) {
       bool wanted =
           std::all_of(filters.begin(), filters.end(), [&](const auto& word) {
             return line.find(word) != std::string::npos;
           });
-      if (wanted) lines.emplace_back(std::stoull(line), line);
+      std::uint64_t stamp = 0;
+      auto parsed =
+          std::from_chars(line.data(), line.data() + line.size(), stamp);
+      bool has_stamp = parsed.ec == std::errc();
+      if (wanted && has_stamp) lines.emplace_back(stamp, line);
     }
   }
   std::sort(lines.begin(), lines.end());
--- a/src/process/member-service.cc
+++ b/src/process/member-service.cc
@@ -1,8 +1,7 @@
 #include "process/member-service.h"
 
-#include <nlohmann/json.hpp>
-
 #include "process/clock.h"
+#include "process/json-fields.h"
 #include "process/log.h"
 #include "process/timeline.h"
 #include "toucanmux/codec.h"
@@ -46,17 +45,17 @@
 // provides only addresses to contact and the leaving state.
 member parse_instance(const object_read& object) {
   member out;
-  auto json = nlohmann::json::parse(object.value, nullptr, false);
-  if (!json.is_object()) return out;
-  out.id = member_id(json.value("id", object.key));
-  out.domain = domain_id(json.value("domain", ""));
-  out.address = json.value("address", "");
-  bool pool = json.value("role", "entry") == "pool";
+  json_fields fields(object.value);
+  if (!fields.is_object()) return out;
+  out.id = member_id(fields.text("id", object.key));
+  out.domain = domain_id(fields.text("domain"));
+  out.address = fields.text("address");
+  bool pool = fields.text("role") == "pool";
   out.role = pool ? member_role::pool : member_role::entry;
-  out.control_port = json.value("control_port", std::uint16_t{0});
-  out.service_port = json.value("service_port", std::uint16_t{0});
-  out.incarnation = json.value("incarnation", std::uint64_t{0});
-  if (json.value("leaving", false)) out.state = member_state::leaving;
+  out.control_port = fields.port("control_port");
+  out.service_port = fields.port("service_port");
+  out.incarnation = fields.number("incarnation");
+  if (fields.flag("leaving")) out.state = member_state::leaving;
   return out;
 }
 
@@ -122,13 +121,27 @@
   }
   platform_.list("instances", [this](const object_batch& batch) {
     membership::instance_list list;
+    auto skipped = batch.skipped;
     for (const auto& object : batch.objects) {
-      list.members.push_back(parse_instance(object));
+      auto instance = parse_instance(object);
+      if (instance.id.empty()) {
+        ++skipped;
+      } else {
+        list.members.push_back(std::move(instance));
+      }
     }
+    note_skipped(skipped);
     if (batch.reached) step(list);
   });
 }
 
+void member_service::note_skipped(std::size_t count) {
+  if (std::exchange(skipped_instances_, count) == count || count == 0) return;
+  log_warning(log_part::members,
+              "Skipped " + std::to_string(count) +
+                  " instances of the platform's list that can't be read.");
+}
+
 void member_service::step(const membership::event& new_event) {
   for (const auto& action : members_.step(now(), new_event)) {
     std::visit(overloaded{
--- a/src/process/member-service.h
+++ b/src/process/member-service.h
@@ -50,6 +50,7 @@
   void tick();
   void read_instances();
   void record_change(const member& changed);
+  void note_skipped(std::size_t count);
   void add_pools(const member_table::domain_view& view, bool leaving,
                  std::vector<member>& out) const;
 
@@ -59,6 +60,7 @@
   membership members_;
   handlers handlers_;
   instant next_instances_read_;
+  std::size_t skipped_instances_ = 0;  ///< As last logged.
   bool changed_ = true;  ///< `members_changed` is still to be called.
   QTimer timer_;
 };
--- a/src/process/membership.cc
+++ b/src/process/membership.cc
@@ -461,7 +461,8 @@
 void membership::handle(const instance_list& list) {
   platform_addresses_.clear();
   for (const auto& listed : list.members) {
-    if (listed.id != self_.info.id) {
+    bool reachable = !listed.address.empty() && listed.control_port != 0;
+    if (listed.id != self_.info.id && reachable) {
       platform_addresses_.push_back({listed.address, listed.control_port});
     }
     if (listed.state != member_state::leaving) continue;
--- a/src/process/platform-client.cc
+++ b/src/process/platform-client.cc
@@ -1,7 +1,10 @@
 #include "process/platform-client.h"
 
 #include <QNetworkReply>
-#include <nlohmann/json.hpp>
+#include <charconv>
+
+#include "process/json-fields.h"
+#include "toucanmux/json-scan.h"
 
 namespace toucanmux {
 
@@ -21,20 +24,6 @@
   return reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 }
 
-object_batch parse_batch(const QByteArray& body) {
-  object_batch out;
-  auto json = nlohmann::json::parse(body.begin(), body.end(), nullptr, false);
-  if (!json.is_object()) return out;
-  out.reached = true;
-  out.revision = json.value("revision", std::uint64_t{0});
-  for (const auto& item : json.value("objects", nlohmann::json::array())) {
-    out.objects.push_back(
-        {item.value("kind", ""), item.value("key", ""), read_result::found,
-         item.value("version", std::uint64_t{0}), item.value("value", "")});
-  }
-  return out;
-}
-
 object_read parse_read(QNetworkReply* reply, const read_object& object) {
   object_read out{object.kind, object.key, read_result::unreachable, 0, ""};
   int status = status_of(reply);
@@ -58,6 +47,33 @@
 
 }  // namespace
 
+// The objects are parsed one by one, since other programs write some of them.
+object_batch parse_object_batch(std::string_view body) {
+  object_batch out;
+  auto members = json_scan::split_object(body);
+  if (!members) return out;
+  out.reached = true;
+  for (const auto& [name, value] : *members) {
+    if (name == "revision") {
+      std::from_chars(value.data(), value.data() + value.size(), out.revision);
+    }
+    if (name != "objects") continue;
+    auto elements = json_scan::split_array(value);
+    if (!elements) return {};
+    for (auto element : *elements) {
+      json_fields object(element);
+      if (object.text("key").empty()) {
+        ++out.skipped;
+        continue;
+      }
+      out.objects.push_back({object.text("kind"), object.text("key"),
+                             read_result::found, object.number("version"),
+                             object.text("value")});
+    }
+  }
+  return out;
+}
+
 platform_client::platform_client(const endpoint& platform)
     : base_url_("http://" + platform.address + ":" +
                 std::to_string(platform.port) + "/v1/") {}
@@ -108,8 +124,10 @@
   QObject::connect(
       reply, &QNetworkReply::finished, [reply, done = std::move(done)] {
         reply->deleteLater();
-        done(status_of(reply) == 200 ? parse_batch(reply->readAll())
-                                     : object_batch{});
+        if (status_of(reply) != 200) return done({});
+        auto body = reply->readAll();
+        done(parse_object_batch(
+            {body.constData(), static_cast<std::size_t>(body.size())}));
       });
 }
 
--- a/src/process/platform-client.h
+++ b/src/process/platform-client.h
@@ -18,8 +18,12 @@
   bool reached = false;  ///< False if the call failed; the rest is unset.
   std::uint64_t revision = 0;
   std::vector<object_read> objects;
+  std::size_t skipped = 0;  ///< Objects that can't be read.
 };
 
+/// Parses a list or the changes of a watch.
+object_batch parse_object_batch(std::string_view body);
+
 /// Client of the platform's object API. Calls each handler once from the event
 /// loop, also on failure. Lives on the control thread.
 class platform_client {
--- a/test/hostile.sh
+++ b/test/hostile.sh
@@ -58,6 +58,20 @@
 send_raw "$(fleet_port 0 5)" '\xff\xff\xff\xff\x01aaaaaaaaaaaaaaaa' >/dev/null
 send_raw "$(fleet_port 0 5)" '\x00\x00\x00\x10\x01aaaaaaaaaaaaaaaa' >/dev/null
 
+# Another program's entries in the platform's list, which every process reads
+# within 10 s of its start or of the last time.
+odd=0
+deep=$(printf '[%.0s' $(seq 60000))
+for value in 7 '{"id":7}' '{"id":"x","control_port":70000,"leaving":"yes"}' \
+  '{"id":"x","address":[],"service_port":-1}' '{"id":"\\udc80"}' \
+  '{"incarnation":1e999}' "$deep"; do
+  odd=$((odd + 1))
+  code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT -H 'If-Match: 0' \
+    -d "$value" "http://127.0.0.1:$(fleet_platform_port)/v1/objects/instances/odd-$odd")
+  expect "the platform takes odd instance $odd" 200 "$code"
+done
+sleep 12
+
 for i in 0 1 2; do
   expect "instance $i still serves" 200 "$(post -d '{"sql":"select 1","shard":"1"}' \
     "http://127.0.0.1:$(fleet_port "$i" 0)/v1/$service/read")"
