--- a/test/proxy-settings-test.cc
+++ b/test/proxy-settings-test.cc
@@ -101,6 +101,27 @@
 }
 
 // Guards against further store calls of a deployment that drains no domains.
+// Guards against a settings file whose numbers wrap around when they are
+// converted: the process would listen elsewhere, or stop at once.
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_refused_or_reduced) {
+  auto with = [](const std::string& line, const std::string& replacement) {
+    auto out = valid_settings;
+    out.replace(out.find(line), line.size(), replacement);
+    return out;
+  };
+  BOOST_TEST(error_message(with("[7560,7575]", "[73096,73100]"))
+                 .find("port_range[0]: give a port from 1 to 65535") !=
+             std::string::npos);
+  temporary_file last(with("[7560,7575]", "[65535,65540]"));
+  BOOST_TEST(read_proxy_settings(last.path()).relay_address.port == 0U);
+  temporary_file large(
+      with("revoke_ms = 4000",
+           "revoke_ms = 9223372036854775807\ngrace_s = 9223372036854775807"));
+  auto settings = read_proxy_settings(large.path());
+  BOOST_TEST((settings.revocation_timeout == 24h));
+  BOOST_TEST((settings.shutdown_timeout > 24h));
+}
+
 BOOST_AUTO_TEST_CASE(the_settings_of_failure_domains_are_read) {
   temporary_file plain(valid_settings);
   auto settings = read_proxy_settings(plain.path());
