Let open transactions of a stopping entry end

toucanmux-entry closed the connections of open transactions together with the idle ones when its notice was over, so that the next statement or the commit met a closed connection. A connection with an open transaction is held now until the transaction ends, for at most the time of the notice once more. A request that has arrived unnoticed is served before its connection is closed.

toucanmux-pool started new workers, which accept statements, although it was leaving. SIGHUP ended both programs.

test/stop.sh on: SIGHUP ended the entry; without SIGHUP the statement and the commit after the end of new work failed. The late worker was found by reading and has no test of its own.

--- a/src/connection/http-connection.cc
+++ b/src/connection/http-connection.cc
@@ -108,7 +108,8 @@
 
 void http_connection::respond(http_response&& response) {
   if (ended_) return;
-  bool keep_open = keep_alive_ && !draining_ && !response.close;
+  bool leaves = draining_ && !held_;
+  bool keep_open = keep_alive_ && !leaves && !response.close;
   std::string bytes = format_response(response, keep_open);
   socket_.write(bytes);
   serving_request_ = false;
@@ -133,9 +134,16 @@
   respond(std::move(response));
 }
 
+// Serves a request that has arrived and was not noticed yet.
 void http_connection::drain() {
   draining_ = true;
-  if (!in_request()) close_idle();
+  if (!in_request()) handle_readable();
+  if (!in_request() && !held_) close_idle();
+}
+
+void http_connection::release() {
+  held_ = false;
+  if (draining_ && !in_request()) close_idle();
 }
 
 void http_connection::enforce_timeouts(instant current_time) {
--- a/src/connection/http-connection.h
+++ b/src/connection/http-connection.h
@@ -41,8 +41,11 @@
 
   void respond(http_response&& response);
   /// Closes the connection after the current request, or at once if there is
-  /// none.
+  /// none. A held connection stays open until it is released.
   void drain();
+  /// Holds the connection, for further requests that belong together.
+  void hold() { held_ = true; }
+  void release();
   /// Ends the connection if a timeout of `http_limits` has passed.
   void enforce_timeouts(instant current_time);
   /// True while a request is being served.
@@ -72,6 +75,7 @@
   bool may_have_unread_ = false;  ///< Bytes may have arrived during a request.
   bool keep_alive_ = true;
   bool draining_ = false;
+  bool held_ = false;
   bool ended_ = false;
 };
 
--- a/src/process/entry-process.cc
+++ b/src/process/entry-process.cc
@@ -65,6 +65,8 @@
                  config_.handle_peer_digest(from, digest);
                },
                [this] { drain_.start({}); }});
+  QObject::connect(&transaction_timer_, &QTimer::timeout,
+                   [this] { end_transactions(); });
   update_limiter_members();
   add_pages();
 }
@@ -130,6 +132,17 @@
   for (auto& one : threads_) {
     one->thread.post([&one = *one] { one.state->drain(); });
   }
+  auto transaction_time = std::chrono::ceil<std::chrono::milliseconds>(
+      settings_.process.drain_notice);
+  transaction_timer_.setSingleShot(true);
+  transaction_timer_.start(transaction_time);
+}
+
+// Open transactions have the time of the notice once more to end by themselves.
+void entry_process::end_transactions() {
+  for (auto& one : threads_) {
+    one->thread.post([&one = *one] { one.state->end_transactions(); });
+  }
 }
 
 bool entry_process::idle() {
--- a/src/process/entry-process.h
+++ b/src/process/entry-process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <QTimer>
 #include <memory>
 #include <vector>
 
@@ -40,6 +41,7 @@
              const std::function<void(admission)>& done);
   void update_limiter_members();
   void stop_new_work();
+  void end_transactions();
   bool idle();
   bool ready();
   void add_pages();
@@ -60,6 +62,7 @@
   member_service members_;
   config_service config_;
   drain_service drain_;
+  QTimer transaction_timer_;
 };
 
 }  // namespace toucanmux
--- a/src/process/entry-thread.cc
+++ b/src/process/entry-thread.cc
@@ -1,5 +1,8 @@
 #include "process/entry-thread.h"
 
+#include <algorithm>
+#include <vector>
+
 #include "process/clock.h"
 
 namespace toucanmux {
@@ -60,6 +63,14 @@
 
 void entry_thread::drain() { server_.drain(); }
 
+// Closing a connection rolls its transaction back.
+void entry_thread::end_transactions() {
+  std::vector<http_connection*> callers;
+  for (const auto& [id, transaction] : transactions_)
+    callers.push_back(transaction.caller);
+  for (auto* caller : callers) caller->release();
+}
+
 pool_link& entry_thread::link(const endpoint& to) {
   auto& slot = links_[to];
   if (slot) return *slot;
@@ -102,10 +113,21 @@
 }
 
 std::uint64_t entry_thread::add_transaction(open_transaction&& opened) {
+  opened.caller->hold();
   transactions_.emplace(++last_transaction_id_, std::move(opened));
   return last_transaction_id_;
 }
 
+void entry_thread::remove_transaction(std::uint64_t id) {
+  auto removed = transactions_.extract(id);
+  if (removed.empty()) return;
+  auto* caller = removed.mapped().caller;
+  bool has_more =
+      std::any_of(transactions_.begin(), transactions_.end(),
+                  [&](const auto& one) { return one.second.caller == caller; });
+  if (!has_more) caller->release();
+}
+
 open_transaction* entry_thread::find_transaction(
     std::uint64_t id, const http_connection& caller) {
   auto it = transactions_.find(id);
--- a/src/process/entry-thread.h
+++ b/src/process/entry-thread.h
@@ -45,8 +45,11 @@
   /// Applies a newer view; ends requests whose key is no longer in
   /// the view.
   void update(fleet_view_ptr view);
-  /// Closes each caller's connection after its current request.
+  /// Closes each caller's connection after its current request, or after its
+  /// open transaction.
   void drain();
+  /// Ends the open transactions that are left, after their current request.
+  void end_transactions();
   /// True if no request is in flight and no caller is connected.
   bool idle() const { return requests_.empty() && server_.size() == 0; }
   std::size_t callers() const { return server_.size(); }
@@ -77,7 +80,7 @@
   /// @return null if the transaction is unknown or of another caller.
   open_transaction* find_transaction(std::uint64_t id,
                                      const http_connection& caller);
-  void remove_transaction(std::uint64_t id) { transactions_.erase(id); }
+  void remove_transaction(std::uint64_t id);
   /// Rolls a transaction back at its pool without waiting for the answer.
   void roll_back(const open_transaction& abandoned);
   /// @}
--- a/src/process/pool-thread.cc
+++ b/src/process/pool-thread.cc
@@ -67,6 +67,7 @@
 }
 
 void pool_thread::drain() {
+  draining_ = true;
   for (auto& [id, worker] : workers_) worker->drain();
 }
 
@@ -152,6 +153,8 @@
   if (target == nullptr) return nullptr;
   const auto* owner = view_->owner(*target);
   bool own = owner != nullptr && owner->id == self_.id;
+  // A new worker would accept statements that the others refuse.
+  if (draining_ && known == workers_.end()) return nullptr;
   // A former owner still serves the transactions that are open on it.
   bool may_hold = known != workers_.end() && request.transaction != 0;
   if (!own && !may_hold) return nullptr;
--- a/src/process/pool-thread.h
+++ b/src/process/pool-thread.h
@@ -59,6 +59,7 @@
   fleet_view_ptr view_;
   std::map<group_id, group_state> group_states_;
   std::map<database_id, std::unique_ptr<database_worker>> workers_;
+  bool draining_ = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<entry_link>> links_;
   std::uint64_t last_link_ = 0;
 };
--- a/src/process/server-main.cc
+++ b/src/process/server-main.cc
@@ -19,7 +19,9 @@
 
 }  // namespace
 
+// SIGHUP would end the process and the work of its callers.
 void block_stop_signals() {
+  signal(SIGHUP, SIG_IGN);
   sigset_t signals = stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
--- a/src/process/server-main.h
+++ b/src/process/server-main.h
@@ -13,7 +13,8 @@
 namespace toucanmux {
 
 /// Blocks SIGTERM and SIGINT, so that only `on_stop_signal` gets them. Call it
-/// before any thread starts, because threads inherit the signal mask.
+/// before any thread starts, because threads inherit the signal mask. SIGHUP is
+/// ignored: settings are read only at the start.
 void block_stop_signals();
 
 /// Calls `stop` from the event loop at the first SIGTERM or SIGINT.
