Ignore values of peers' messages that no instance sends

A report with a level that is no number stopped a team at every instance that started; a leader record with an unknown phase was used as an index into the names of phases when it was written to the store; and an echo above the largest signed number passed the check of its age, so that what it confirmed could lie in the future. The checksum of datagrams makes such values unlikely, but another version or program may send them.

Found by reading; none was seen in a fleet. Such records, levels and echoes are ignored.

--- a/include/toucanmux/proxy/rate-ledger.h
+++ b/include/toucanmux/proxy/rate-ledger.h
@@ -211,6 +211,7 @@
                    const team_usage& use);
   void adopt_level(instant now, team_state& team, double level);
   static void deduct(team_state& team, double count);
+  static double min_level(const team_state& team);
   void refresh(instant now);
   duration time_to_next_token(const team_state& team) const;
   static double unreported_allowance(const team_state& team);
--- a/src/proxy/leader-lease.cc
+++ b/src/proxy/leader-lease.cc
@@ -42,6 +42,8 @@
 
 void leader_lease::apply_record(instant now, const leader_record& record) {
   if (record.generation != generation()) return;
+  // The phase of a message may have any value.
+  if (record.phase > leadership_phase::settled) return;
   auto [found, inserted] = records_.try_emplace(record.group);
   known_record& entry = found->second;
   if (!inserted && record.revision <= entry.record.revision) return;
--- a/src/proxy/peer-service-receive.cc
+++ b/src/proxy/peer-service-receive.cc
@@ -4,6 +4,7 @@
 #include "toucanmux/codec.h"
 #include "toucanmux/hash.h"
 #include "toucanmux/process/datagram.h"
+#include "toucanmux/proxy/echoed-moment.h"
 #include "toucanmux/proxy/peer-frame.h"
 
 namespace toucanmux {
@@ -179,10 +180,10 @@
 // while this process was paused.
 void peer_service::apply_confirmations(const peer& sender,
                                        const peer_report& report) {
-  // Stamps of an earlier process confirm nothing to this one.
-  if (sender.echoed_stamp < incarnation_) return;
-  instant sent_at(duration(static_cast<std::int64_t>(sender.echoed_stamp)));
-  if (sent_at > state_.loop.now()) return;
+  auto echoed =
+      echoed_moment(sender.echoed_stamp, incarnation_, state_.loop.now());
+  if (!echoed) return;
+  instant sent_at = *echoed;
   state_.leader_leases.confirm_from_peer(
       sent_at - milliseconds(report.leader_age_ms), report.leader_digest);
   if (peers_.domain_reader(state_.loop.now()) == &sender) {
@@ -233,13 +234,12 @@
 // that stamp less the ages in the reply.
 void peer_service::apply_positions(std::uint64_t echo,
                                    std::span<const group_position> positions) {
-  instant sent_at(duration(static_cast<std::int64_t>(echo)));
-  // Stamps of an earlier process confirm nothing to this one.
-  if (echo < incarnation_ || sent_at > state_.loop.now()) return;
+  auto sent_at = echoed_moment(echo, incarnation_, state_.loop.now());
+  if (!sent_at) return;
   for (const auto& item : positions) {
     auto* group = state_.find_group(item.group);
     if (!group) continue;
-    group->apply_sample(sent_at - milliseconds(item.age_ms), item.position);
+    group->apply_sample(*sent_at - milliseconds(item.age_ms), item.position);
   }
 }
 
--- a/src/proxy/rate-ledger.cc
+++ b/src/proxy/rate-ledger.cc
@@ -222,14 +222,19 @@
 // before its start.
 void rate_ledger::adopt_level(instant now, team_state& team, double level) {
   if (now - started_at_ > settings_.settle_time || team.level_known) return;
-  team.level = std::min(level, team.burst);
+  // A message may have any value, and no later usage would change some.
+  if (!std::isfinite(level)) return;
+  team.level = std::clamp(level, min_level(team), team.burst);
   team.level_known = true;
 }
 
 void rate_ledger::deduct(team_state& team, double count) {
-  // The debt is limited: usage beyond the limit lies too far back to matter.
-  double min_level = -max_debt_bursts * std::max(team.burst, 1.0);
-  team.level = std::clamp(team.level - count, min_level, team.burst);
+  team.level = std::clamp(team.level - count, min_level(team), team.burst);
+}
+
+// The debt is limited: usage beyond the limit lies too far back to matter.
+double rate_ledger::min_level(const team_state& team) {
+  return -max_debt_bursts * std::max(team.burst, 1.0);
 }
 
 rate_ledger::decision rate_ledger::admit(instant now, const team_id& team) {
--- a/test/leader-lease-test.cc
+++ b/test/leader-lease-test.cc
@@ -85,6 +85,15 @@
   BOOST_TEST(leases.digest() == peer.digest());
 }
 
+// Guards against a peer's record that indexes the names of phases out of range.
+BOOST_AUTO_TEST_CASE(a_record_with_an_unknown_phase_is_ignored) {
+  auto leases = registered();
+  leases.apply_record(start, record(4, leadership_phase::settled, 2));
+  leases.apply_record(start, record(5, static_cast<leadership_phase>(200), 3));
+  BOOST_TEST(leases.find(group)->leader == 2U);
+  BOOST_TEST(leases.find(group)->revision == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(recent_records_expire) {
   auto leases = registered();
   leases.apply_record(start, record(5, leadership_phase::revoked, 2));
--- a/test/rate-ledger-test.cc
+++ b/test/rate-ledger-test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <limits>
 #include <random>
 
 #include "rate-fleet.h"
@@ -211,6 +212,26 @@
   BOOST_TEST(instances.admitted >= instances.requested * 0.95);
 }
 
+// Guards against one report that stops a team at every instance that starts.
+BOOST_AUTO_TEST_CASE(a_level_that_no_instance_has_is_not_adopted) {
+  team_plan plan{team_id("glaziers"), 10, 20, {}};
+  for (float level : {std::numeric_limits<float>::quiet_NaN(),
+                      -std::numeric_limits<float>::infinity(), -1e30F}) {
+    instant now{10s};
+    rate_ledger ledger;
+    ledger.configure(now, std::span(&plan, 1));
+    ledger.add_peer(now, member_id("edge-2"));
+    std::vector<team_usage> uses{{short_hash("glaziers"), 0, 0, level, 0}};
+    ledger.apply_report(now, member_id("edge-2"), 1, true, uses, true);
+    bool admitted = false;
+    for (int i = 0; i < 600 && !admitted; ++i) {
+      now += 100ms;
+      admitted = ledger.admit(now, plan.team).admitted;
+    }
+    BOOST_TEST(admitted);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_fleet_stays_within_the_limit) {
   for (unsigned seed = 1; seed <= 20; ++seed) {
     std::mt19937 random(seed);
--- a/test/unreadable-input-test.cc
+++ b/test/unreadable-input-test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE unreadable_input
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "standin/proxy/process-fixture.h"
 #include "toucanmux/error.h"
 #include "toucanmux/json-scan.h"
+#include "toucanmux/proxy/echoed-moment.h"
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
@@ -208,6 +210,18 @@
   BOOST_TEST(!store_api::write_duty(request, 1).body.empty());
 }
 
+// Guards against a damaged report whose confirmations lie in the future after
+// its ages are subtracted.
+BOOST_AUTO_TEST_CASE(only_stamps_that_were_sent_are_echoes) {
+  constexpr std::uint64_t first = 5'000'000;
+  constexpr instant now{9s};
+  BOOST_TEST((echoed_moment(7'000'000, first, now) == instant(7s)));
+  for (std::uint64_t echo :
+       {first - 1, std::uint64_t{9'000'001}, std::uint64_t{1} << 63U,
+        std::numeric_limits<std::uint64_t>::max()})
+    BOOST_TEST(!echoed_moment(echo, first, now).has_value());
+}
+
 BOOST_FIXTURE_TEST_SUITE(processes, process_fixture)
 
 // Guards against instances that never become ready, or end, because of one
