--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -230,7 +230,7 @@
 void proxy_process::advance_stop() {
   instant now = loop_.now();
   if (!state_.stop.accepts_operations(now)) close_idle_sessions();
-  end_unsent_work();
+  if (!state_.stop.accepts_statement(now, instant::max())) end_unsent_work();
   drain_.step(now, drain::work{busy_sessions()});
   drain_.step(now, drain::tick{});
   if (state_.stop.over(now)) give_up_work();
