--- a/test/object-batch-test.cc
+++ b/test/object-batch-test.cc
@@ -19,8 +19,9 @@
         std::string(R"({"key":"\udc80"})"), std::string("{\"key\":\"\xff\"}"),
         std::string(R"({"key":[]})"),
         std::string(R"({"key":"x","version":1e999})")}) {
-    auto batch = parse_object_batch(R"({"revision":9,"objects":[)" + odd + ',' +
-                                    good + "]}");
+    std::string body = R"({"revision":9,"objects":[)";
+    body.append(odd).append(",").append(good).append("]}");
+    auto batch = parse_object_batch(body);
     BOOST_TEST(batch.reached);
     BOOST_TEST(batch.revision == 9U);
     BOOST_TEST(batch.skipped == 1U);
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -49,6 +49,7 @@
 BOOST_AUTO_TEST_CASE(a_stop_answers_the_statements_of_busy_sessions) {
   run_until([&] { return ready(); });
   std::vector<std::unique_ptr<busy_caller>> callers;
+  callers.reserve(6);
   for (int i = 0; i < 6; ++i) {
     callers.push_back(std::make_unique<busy_caller>(
         loop, settings.caller_address, i % 2 == 0));
--- a/test/unreadable-input-test.cc
+++ b/test/unreadable-input-test.cc
@@ -44,6 +44,32 @@
          note + "}}";
 }
 
+std::string member(const std::string& domain) {
+  return R"({"meta":{"name":"odd","revision":6},"spec":{"domain":)" + domain +
+         "}}";
+}
+
+std::string member_text(const std::string& name, const std::string& value) {
+  return '"' + name + "\":" + value;
+}
+
+std::string joined(const std::string& first, const std::string& second) {
+  return first + ',' + second;
+}
+
+std::string duty(const std::string& group, const std::string& token) {
+  return R"({"meta":{"name":"group-)" + group +
+         R"(","revision":5},"spec":{"token":)" + token +
+         R"(,"leader":"i-1","phase":"settled"}})";
+}
+
+// The first of its two groups has a note.
+std::string base(const std::string& note) {
+  return R"({"meta":{"name":"base"},"spec":{"settled":true,"groups":[
+      {"group":"b","leader":"i-7","note":)" +
+         note + R"(},{"group":"c","leader":"i-8"}]}})";
+}
+
 std::string page(const std::string& items, bool more = false) {
   return "{\"items\":[" + items + "],\"more\":" + (more ? "true" : "false") +
          ",\"store_revision\":530}";
@@ -149,9 +175,9 @@
       R"({"meta":{"name":"edge-2"},"spec":{"address":"10.1.0.2:7560",
       "domain":"a"}})";
   for (const auto& value : odd_values()) {
-    auto odd = R"({"meta":{"name":"odd","revision":6},"spec":{"domain":)" +
-               value + "}}";
-    auto members = store_api::parse_members(page(odd + ',' + good));
+    auto odd = member(value);
+    auto list = page(joined(odd, good));
+    auto members = store_api::parse_members(list);
     BOOST_REQUIRE(members.has_value());
     BOOST_TEST(members->members.size() == 1U);
     BOOST_TEST(members->skipped.size() == 1U);
@@ -160,7 +186,7 @@
     http_result result;
     result.answered = true;
     result.status = 200;
-    result.body = page(odd + ',' + good);
+    result.body = list;
     auto drained = store_api::parse_drained_domains(result);
     BOOST_REQUIRE(drained.has_value());
     BOOST_TEST(drained->domains.size() == 2U);
@@ -172,16 +198,8 @@
 BOOST_AUTO_TEST_CASE(
     an_unreadable_duty_leaves_only_its_group_without_a_leader) {
   for (const auto& value : odd_values()) {
-    auto duty = [](const std::string& group, const std::string& token) {
-      return R"({"meta":{"name":"group-)" + group +
-             R"(","revision":5},"spec":{"token":)" + token +
-             R"(,"leader":"i-1","phase":"settled"}})";
-    };
-    auto base = R"({"meta":{"name":"base"},"spec":{"settled":true,"groups":[
-        {"group":"b","leader":"i-7","note":)" +
-                value + R"(},{"group":"c","leader":"i-8"}]}})";
     auto found = store_api::parse_duties(
-        page(base + ',' + duty("a", value) + ',' + duty("d", "3")));
+        page(base(value) + ',' + duty("a", value) + ',' + duty("d", "3")));
     BOOST_REQUIRE(found.has_value());
     BOOST_TEST(found->settled);
     BOOST_REQUIRE(found->base.has_value());
@@ -231,11 +249,12 @@
   auto config = config_spec(4, "key-1");
   for (const auto& value : odd_values()) {
     auto name = "odd-" + std::to_string(++number);
-    auto spec = "{\"service\":\"ledger\",\"note\":" + value + '}';
+    std::string spec = R"({"service":"ledger","note":)";
+    spec.append(value).append("}");
     for (const char* kind :
          {"servers", "toucanmux-members", "toucanmux-duties-1"})
       store.put(kind, name, spec);
-    config.insert(1, "\"note-" + name + "\":" + value + ',');
+    config.insert(1, joined(member_text(name, value), ""));
   }
   store.put("config", "main", config);
   auto started = start_second_instance(store.address());
