Answer the statements behind one that a stop gives up

A session that ended at the end of a stop dropped the statements in its buffer without an answer. They are refused now. a_stop_answers_what_a_database_does_not sends one more statement, whose answer it waits for.

--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -46,6 +46,8 @@
   } else if (running_) {
     refuse_for_stop();
   }
+  // Statements behind it are refused.
+  on_input();
   finish();
 }
 
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -78,9 +78,10 @@
   caller->request("QUERY 1 PUT 1a4 x");
   first.silent = true;
   caller->send("QUERY 2 PUT 1a4 y");
+  caller->send("QUERY 3 PUT 1a4 z");
   std::raise(SIGTERM);
-  auto answer = caller->read_answer();
-  BOOST_TEST(starts_with(answer, "ERR UNKNOWN"));
+  BOOST_TEST(starts_with(caller->read_answer(), "ERR UNKNOWN"));
+  BOOST_TEST(starts_with(caller->read_answer(), "ERR BUSY"));
   run_until([&] { return loop.stopped() && caller->closed(); });
 }
 
