Log what a stop leaves unsent and when its signal was raised

The hypotheses on statements without an answer around a stop could not be told apart: nothing said that an answer was sent in part only, how late the signal was handled, or whether a process ended by itself.

answer_cut (and the gauge answers_cut) names the last request of a session that ends before its answer is sent whole; stopping has raised_ms and timeout_ms, and stop has taken_ms. The signal handler passes on when the signal was raised.

--- a/include/toucanmux/process/stop-schedule.h
+++ b/include/toucanmux/process/stop-schedule.h
@@ -15,6 +15,10 @@
   /// @param timeout from the signal until the process is killed.
   void begin(instant now, duration timeout);
   bool begun() const { return begun_at_.has_value(); }
+  /// The time since the stop began; 0 before.
+  duration elapsed(instant now) const {
+    return begun_at_ ? now - *begun_at_ : duration{0};
+  }
 
   /// From the signal until no new operations are accepted: callers are routed
   /// to other instances meanwhile.
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -30,6 +30,16 @@
   state_.loop.arm_in(timer_, open_timeout);
 }
 
+client_session::~client_session() {
+  if (stream_.closed() || stream_.output().empty()) return;
+  ++state_.answers_cut;
+  state_.log.write(journal_kind::process, "answer_cut",
+                   {{"request", last_statement_id_},
+                    {"unsent_bytes", std::uint64_t{stream_.output().size()}},
+                    {"since_answer_ms", state_.loop.now() - answered_at_},
+                    {"stopping", state_.stopping}});
+}
+
 void client_session::finish() {
   if (ended_) return;
   session_ptr keep(this);
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -36,6 +36,7 @@
                                           boost::thread_unsafe_counter> {
  public:
   client_session(proxy_state& state, session_owner& owner, int descriptor);
+  ~client_session() override;
 
   /// True if no statement was received without being answered, and no
   /// transaction is open.
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -44,7 +44,7 @@
       tick_timer_([this] { tick(); }),
       stop_timer_([this] { advance_stop(); }),
       signals_(std::make_unique<signal_pipe>(
-          loop, [this](int number) { handle_signal(number); })),
+          loop, [this](int number, instant at) { handle_signal(number, at); })),
       readiness_port_(
           loop, settings.readiness_address,
           [this](std::string_view path) { return answer_probe(path); }),
@@ -84,6 +84,7 @@
   loop_.run();
   state_.log.write(journal_kind::process, "stop",
                    {{"sessions", std::uint64_t{sessions_.size()}},
+                    {"taken_ms", state_.stop.elapsed(loop_.now())},
                     {"dropped_lines", state_.log.dropped()}});
 }
 
@@ -115,14 +116,16 @@
          state_.confirmation.valid(loop_.now());
 }
 
-void proxy_process::handle_signal(int number) {
+void proxy_process::handle_signal(int number, instant raised_at) {
   if (number == SIGHUP) return reload();
   if (state_.stopping) return;
   state_.stopping = true;
   state_.stop.begin(loop_.now(), state_.settings.shutdown_timeout);
   drain_ = drain({state_.stop.notice(), drain_linger});
   state_.log.write(journal_kind::process, "stopping",
-                   {{"sessions", std::uint64_t{sessions_.size()}}});
+                   {{"sessions", std::uint64_t{sessions_.size()}},
+                    {"raised_ms", boot_time() - raised_at},
+                    {"timeout_ms", state_.settings.shutdown_timeout}});
   drain_.step(loop_.now(), drain::leave{});
   loop_.arm_in(stop_timer_, stop_interval);
   peers_.expedite_reports();
@@ -283,6 +286,7 @@
 void proxy_process::update_metrics() {
   auto& metrics = state_.metrics;
   metrics.set("sessions", static_cast<double>(sessions_.size()));
+  metrics.set("answers_cut", static_cast<double>(state_.answers_cut));
   metrics.set("store_calls", static_cast<double>(store_.calls()));
   metrics.set("store_generation", static_cast<double>(state_.store.current()));
   metrics.set("dropped_log_lines", static_cast<double>(state_.log.dropped()));
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -47,7 +47,7 @@
   void accept(int descriptor);
   probe_response answer_probe(std::string_view path);
   bool is_ready() const;
-  void handle_signal(int number);
+  void handle_signal(int number, instant raised_at);
   void reload();
   void tick();
   void update_contention();
--- a/src/proxy/signal-pipe.cc
+++ b/src/proxy/signal-pipe.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 
@@ -15,9 +16,15 @@
 // Global, since a signal handler gets no other context.
 volatile int signal_write_end = -1;
 
+struct raised_signal {
+  int number = 0;
+  instant raised_at;
+};
+
 void forward_signal(int number) {
-  auto byte = static_cast<char>(number);
-  [[maybe_unused]] auto written = write(signal_write_end, &byte, 1);
+  raised_signal raised{number, boot_time()};
+  [[maybe_unused]] auto written =
+      write(signal_write_end, &raised, sizeof(raised));
 }
 
 }  // namespace
@@ -51,10 +58,12 @@
 }
 
 void signal_pipe::on_ready(std::uint32_t) {
-  std::array<char, 16> bytes{};
-  auto count = read(read_end_, bytes.data(), bytes.size());
-  for (ssize_t i = 0; i < count; ++i) {
-    on_signal_(bytes[static_cast<std::size_t>(i)]);
+  std::array<raised_signal, 16> raised{};
+  auto count = read(read_end_, raised.data(), sizeof(raised));
+  auto signals = std::max<ssize_t>(count, 0) / ssize_t{sizeof(raised_signal)};
+  for (ssize_t i = 0; i < signals; ++i) {
+    const auto& next = raised[static_cast<std::size_t>(i)];
+    on_signal_(next.number, next.raised_at);
   }
 }
 
--- a/src/proxy/signal-pipe.h
+++ b/src/proxy/signal-pipe.h
@@ -10,7 +10,8 @@
 /// newest signal_pipe of the process gets the signals.
 class signal_pipe final : public descriptor_handler {
  public:
-  using handler = std::function<void(int number)>;
+  /// @param raised_at when the process got the signal.
+  using handler = std::function<void(int number, instant raised_at)>;
 
   /// @throws platform_error if no pipe can be opened.
   signal_pipe(event_loop& loop, handler on_signal);
