--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -3,12 +3,15 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <memory>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "proxy/proxy-process.h"
 #include "standin/proxy/busy-caller.h"
 #include "standin/proxy/process-fixture.h"
 #include "standin/proxy/session-fixture.h"
+#include "standin/proxy/slow-caller.h"
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
@@ -29,6 +32,22 @@
     process.reset();
     for (int i = 0; i < 20; ++i) loop.turn(5ms);
   }
+
+  /// Opens a session and gets `count` answers ready, together larger than the
+  /// buffers of the system.
+  std::unique_ptr<slow_caller> request_large_answers(unsigned count) {
+    auto caller = std::make_unique<slow_caller>(settings.caller_address);
+    caller->send("CONNECT orders key-1");
+    caller->send("QUERY 0 SET note " + std::string(1'000'000, 'x'));
+    for (unsigned i = 1; i <= count; ++i)
+      caller->send("QUERY " + std::to_string(i) + " FETCH 1a4");
+    run_until([&] {
+      caller->send();
+      return caller->all_sent() && first.executed().size() == count;
+    });
+    run_for(100ms);
+    return caller;
+  }
 };
 
 struct stopping_session_fixture : session_fixture {
@@ -85,6 +104,55 @@
   run_until([&] { return loop.stopped() && caller->closed(); });
 }
 
+// Guards against a stop that closes a session, or ends the process, while an
+// answer is still being sent.
+BOOST_AUTO_TEST_CASE(a_stop_sends_the_answers_that_a_slow_caller_awaits) {
+  run_until([&] { return ready(); });
+  auto caller = request_large_answers(12);
+  std::raise(SIGTERM);
+  run_for(settings.shutdown_timeout / 2 + 500ms);
+  BOOST_TEST(!loop.stopped());
+  run_until([&] {
+    caller->receive();
+    return loop.stopped() || caller->ended();
+  });
+  BOOST_TEST(caller->ended());
+  BOOST_TEST(caller->answers() == 14U);
+}
+
+// Guards against a caller that can't tell whether its write ran: it was sent
+// just before the stop closed the session.
+BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_close_is_refused) {
+  run_until([&] { return ready(); });
+  slow_caller caller(settings.caller_address);
+  caller.send("CONNECT orders key-1");
+  run_for(100ms);
+  std::raise(SIGTERM);
+  run_until([&] {
+    caller.receive();
+    return caller.ended();
+  });
+  caller.send("QUERY 1 PUT 1a4 x");
+  run_for(100ms);
+  caller.receive();
+  BOOST_TEST(caller.received().find("ERR BUSY this instance stops") !=
+             std::string::npos);
+  BOOST_TEST(!caller.was_reset());
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against a stop that outlasts its timeout since the loop was busy when
+// the signal was raised.
+BOOST_AUTO_TEST_CASE(a_stop_counts_from_the_signal) {
+  run_until([&] { return ready(); });
+  auto caller = connect();
+  std::raise(SIGTERM);
+  std::this_thread::sleep_for(settings.shutdown_timeout / 2 + 10ms);
+  loop.turn(0ms);
+  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"),
+                         "ERR BUSY this instance stops"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(sessions, stopping_session_fixture)
