Keep a session until its answers are delivered

Callers that read slowly got a part of their last answers when their instance was stopped: the answer ended in the middle of a row, although the database had run the statement. By reading, sessions that end for another reason, such as an error on their opening message, did the same.

Cause: tcp_stream::finish promised to send the queued bytes first, but the session was destroyed at the end of the turn, and the stream with it. Whether a session may be closed, and whether the process may end, depended on running statements and not on what was still unsent. A socket closed with unread input also resets the connection.

finish now sends the end of the stream after the queued bytes and waits for the peer to close, for at most a second. Sessions of callers and of relays are owned until their connection has ended, and count as open work of a stop. The last 0.5 s before the process exits are for sending what was given up.

--- a/include/toucanmux/process/stop-schedule.h
+++ b/include/toucanmux/process/stop-schedule.h
@@ -31,6 +31,8 @@
   bool accepts_statement(instant now, instant deadline) const;
   /// Answers that are still missing have to be given up.
   bool over(instant now) const;
+  /// The process has to end, also if answers are still being sent.
+  bool expired(instant now) const;
 
  private:
   instant ends_at() const;
--- a/src/process/stop-schedule.cc
+++ b/src/process/stop-schedule.cc
@@ -11,7 +11,9 @@
 // The balancer removes an instance after two failed probes, a second apart.
 constexpr duration balancer_notice = milliseconds(2300);
 // Reserved at the end of the timeout for sending the last answers.
-constexpr duration exit_margin = milliseconds(700);
+constexpr duration answer_margin = milliseconds(700);
+// The part of it in which the process exits.
+constexpr duration exit_margin = milliseconds(200);
 
 }  // namespace
 
@@ -35,8 +37,12 @@
   return begun_at_ && now >= ends_at();
 }
 
+bool stop_schedule::expired(instant now) const {
+  return begun_at_ && now >= *begun_at_ + timeout_ - exit_margin;
+}
+
 instant stop_schedule::ends_at() const {
-  return *begun_at_ + timeout_ - exit_margin;
+  return *begun_at_ + timeout_ - answer_margin;
 }
 
 }  // namespace toucanmux
--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -26,6 +26,7 @@
 // The next statement of the transaction, or its commit, learns that nothing of
 // it is kept.
 void client_session::end_unsent_work() {
+  if (ended_) return;
   session_ptr keep(this);
   if (running_ && !statement_.sent && !may_send()) return refuse_for_stop();
   if (running_ || transaction_phase_ != phase::open) return;
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -49,10 +49,13 @@
   release_link();
   return_token();
   stream_.finish();
-  owner_.on_session_ended(*this);
 }
 
-void client_session::on_closed() { finish(); }
+void client_session::on_closed() {
+  session_ptr keep(this);
+  finish();
+  owner_.on_session_ended(*this);
+}
 
 void client_session::on_input() {
   if (handling_input_ || ended_) return;
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -19,7 +19,7 @@
 
 class client_session;
 
-/// Owns client sessions; is notified when one ends.
+/// Owns client sessions; is notified when one and its connection have ended.
 class session_owner {
  public:
   virtual ~session_owner() = default;
@@ -44,6 +44,9 @@
     return !running_ && transaction_phase_ == phase::none &&
            stream_.unread().empty();
   }
+  /// True while an answer is being sent, or the session has ended and its
+  /// connection has not.
+  bool is_sending() const { return ended_ || !stream_.unsent().empty(); }
   bool running() const { return running_; }
   bool in_transaction() const { return transaction_phase_ != phase::none; }
   /// Closes the session if it can be closed, unless the caller may have sent a
@@ -54,7 +57,8 @@
   void end_unsent_work();
   /// Answers a running statement without its result, and ends the session.
   void give_up();
-  /// Ends the session; answers that are already written are still sent.
+  /// Ends the session. Answers that are already written are still sent;
+  /// `on_session_ended` follows.
   void finish();
 
   void on_input() override;
--- a/src/proxy/connections/relay-server.cc
+++ b/src/proxy/connections/relay-server.cc
@@ -25,7 +25,9 @@
         accept(descriptor);
       }) {}
 
-relay_server::~relay_server() {
+relay_server::~relay_server() { finish(); }
+
+void relay_server::finish() {
   auto sessions = sessions_;
   for (const auto& session : sessions) session->finish();
 }
@@ -66,7 +68,6 @@
 }
 
 void relay_server::on_session_ended(relay_session& session) {
-  // Deferred to the end of the turn, so that the last answer is sent first.
   erase_deferred(state_.loop, sessions_, session);
 }
 
--- a/src/proxy/connections/relay-server.h
+++ b/src/proxy/connections/relay-server.h
@@ -20,6 +20,9 @@
   relay_server& operator=(const relay_server&) = delete;
   relay_server& operator=(relay_server&&) = delete;
 
+  /// Ends all sessions. Answers that are already written are sent at the end of
+  /// the turn.
+  void finish();
   inet_address address() const { return listener_.address(); }
   /// Called a few times a second.
   /// @param lateness how late the event loop made this call.
--- a/src/proxy/connections/relay-session.cc
+++ b/src/proxy/connections/relay-session.cc
@@ -52,6 +52,11 @@
     used->abort();
   }
   stream_.finish();
+}
+
+void relay_session::on_closed() {
+  relay_session_ptr keep(this);
+  finish();
   server_.on_session_ended(*this);
 }
 
--- a/src/proxy/connections/relay-session.h
+++ b/src/proxy/connections/relay-session.h
@@ -27,15 +27,18 @@
  public:
   relay_session(proxy_state& state, relay_server& server, int descriptor);
 
-  /// True while a statement waits or runs, or a transaction is open.
-  bool in_use() const { return link_ || is_linked(); }
+  /// True while a statement waits or runs, a transaction is open, an answer is
+  /// being sent, or the session has ended and its connection has not.
+  bool in_use() const {
+    return link_ || is_linked() || ended_ || !stream_.unsent().empty();
+  }
   instant used_at() const { return used_at_; }
   /// Ends the session. A statement that runs or a transaction that is open ends
   /// with its connection to the database.
   void finish();
 
   void on_input() override;
-  void on_closed() override { finish(); }
+  void on_closed() override;
   void on_link(upstream_link& link) override;
   void on_refused(refusal_reason reason, duration expected_wait) override;
   void on_answer(upstream_link& link, const link_answer& answer) override;
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -66,8 +66,10 @@
   auto sessions = sessions_;
   for (const auto& session : sessions) session->finish();
   sessions.clear();
-  relay_server_.reset();
+  if (relay_server_) relay_server_->finish();
   loop_.turn(duration{0});
+  relay_server_.reset();
+  sessions_.clear();
 }
 
 void proxy_process::start() {
@@ -99,7 +101,6 @@
 }
 
 void proxy_process::on_session_ended(client_session& session) {
-  // Deferred to the end of the turn, so that the last answer is sent first.
   erase_deferred(loop_, sessions_, session);
 }
 
@@ -234,11 +235,11 @@
   instant now = loop_.now();
   if (!state_.stop.accepts_operations(now)) close_idle_sessions();
   if (!state_.stop.accepts_statement(now, instant::max())) end_unsent_work();
+  if (state_.stop.over(now) && !work_given_up_) give_up_work();
   drain_.step(now, drain::work{busy_sessions()});
   drain_.step(now, drain::tick{});
-  if (state_.stop.over(now)) give_up_work();
-  bool ended = drain_.state() == drain::phase::drained || state_.stop.over(now);
-  if (ended) return loop_.stop();
+  bool drained = drain_.state() == drain::phase::drained;
+  if (drained || state_.stop.expired(now)) return loop_.stop();
   loop_.arm_in(stop_timer_, stop_interval);
 }
 
@@ -254,6 +255,7 @@
 
 // Callers learn whether the outcome of their statement is known.
 void proxy_process::give_up_work() {
+  work_given_up_ = true;
   auto count_if = [this](auto predicate) {
     return static_cast<std::uint64_t>(
         std::count_if(sessions_.begin(), sessions_.end(), predicate));
@@ -271,8 +273,10 @@
 }
 
 std::uint64_t proxy_process::busy_sessions() const {
-  auto busy = std::count_if(sessions_.begin(), sessions_.end(),
-                            [](const auto& s) { return !s->can_close(); });
+  auto busy = std::count_if(
+      sessions_.begin(), sessions_.end(), [](const auto& session) {
+        return !session->can_close() || session->is_sending();
+      });
   auto out = static_cast<std::uint64_t>(busy);
   if (relay_server_) out += relay_server_->busy_sessions();
   return out;
--- a/src/proxy/proxy-process.h
+++ b/src/proxy/proxy-process.h
@@ -75,6 +75,7 @@
   leader_service leaders_;
   domain_service domains_;
   drain drain_;
+  bool work_given_up_ = false;
   bool leases_held_ = false;
   std::list<session_ptr> sessions_;
   timer tick_timer_;
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -72,9 +72,9 @@
                               ///< answered in time.
   std::map<group_id, std::unique_ptr<upstream_group>> groups;
   std::uint64_t answers_cut = 0;  ///< Answers that were not sent whole.
-  bool contended = false;  ///< By `is_contended`.
-  bool stopping = false;   ///< A signal asked the process to stop.
-  stop_schedule stop;      ///< Begins with that signal.
+  bool contended = false;         ///< By `is_contended`.
+  bool stopping = false;          ///< A signal asked the process to stop.
+  stop_schedule stop;             ///< Begins with that signal.
 };
 
 }  // namespace toucanmux
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -17,6 +17,8 @@
 // The kernel closes a connection whose sent data stays unacknowledged this
 // long.
 constexpr int user_timeout_ms = 4000;
+// How long a peer may take to close a connection whose end was sent.
+constexpr duration close_timeout = std::chrono::seconds(1);
 constexpr std::size_t read_size = 16'384;
 // The memory of an empty buffer with more capacity than this is released.
 constexpr std::size_t max_idle_capacity = 8'192;
@@ -78,13 +80,23 @@
 }
 
 void tcp_stream::finish() {
-  if (closed()) return;
+  if (closed() || finishing_) return;
   finishing_ = true;
   loop_.at_turn_end(*this);
 }
 
+// Closing a socket with unread input resets the connection, and the peer may
+// lose what it has not read yet.
+void tcp_stream::send_end() {
+  if (close_timer_.armed()) return;
+  watch_writable(false);
+  shutdown(descriptor_, SHUT_WR);
+  loop_.arm_in(close_timer_, close_timeout);
+}
+
 void tcp_stream::close() {
   if (is_linked()) unlink();
+  close_timer_.disarm();
   if (descriptor_ >= 0) {
     loop_.unwatch(descriptor_, *this);
     ::close(descriptor_);
@@ -117,6 +129,7 @@
 void tcp_stream::receive() {
   std::array<char, read_size> bytes;  // NOLINT: filled by recv
   auto count = recv(descriptor_, bytes.data(), bytes.size(), 0);
+  if (count > 0 && finishing_) return;
   if (count > 0) {
     input_.append(bytes.data(), static_cast<std::size_t>(count));
     owner_.on_input();
@@ -141,7 +154,7 @@
     if (count > 0) output_.erase(0, static_cast<std::size_t>(count));
   }
   if (output_.empty()) clear_buffer(output_);
-  if (output_.empty() && finishing_) return close();
+  if (output_.empty() && finishing_) return send_end();
   watch_writable(!output_.empty());
 }
 
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -16,8 +16,8 @@
   virtual void on_open() {}
   /// New bytes were appended to `input()`; the owner removes those it consumed.
   virtual void on_input() = 0;
-  /// The peer closed the connection or it failed. Called at most once per
-  /// connection.
+  /// The connection has ended: the peer closed it, it failed, or `finish` is
+  /// complete. Called at most once per connection.
   virtual void on_closed() = 0;
 };
 
@@ -25,7 +25,9 @@
 class tcp_stream final : public descriptor_handler, public turn_end_hook {
  public:
   tcp_stream(event_loop& loop, stream_owner& owner)
-      : loop_(loop), owner_(owner) {}
+      : loop_(loop),
+        owner_(owner),
+        close_timer_([this] { handle_disconnect(); }) {}
   ~tcp_stream() override { close(); }
   tcp_stream(const tcp_stream&) = delete;
   tcp_stream(tcp_stream&&) = delete;
@@ -42,14 +44,16 @@
   /// The bytes queued for sending. Call `schedule_flush` after appending to
   /// them.
   std::string& output() { return output_; }
+  std::string_view unsent() const { return output_; }
   void schedule_flush();
   /// The bytes received and not yet consumed.
   std::string& input() { return input_; }
   std::string_view unread() const { return input_; }
   /// Receives what has arrived since the last event.
   void poll_input();
-  /// Closes the connection after all queued bytes were sent. `on_closed` is
-  /// called only if the connection fails or the peer closes it before that.
+  /// Sends the queued bytes and the end of the stream, then discards input
+  /// until the peer closes the connection too, for at most a second. The owner
+  /// keeps the stream until `on_closed`.
   void finish();
   /// Closes the connection now, without calling `on_closed`.
   void close();
@@ -62,6 +66,7 @@
 
  private:
   void finish_connect();
+  void send_end();
   void receive();
   void flush();
   void watch_writable(bool on);
@@ -73,6 +78,7 @@
   bool connected_ = false;
   bool watching_writable_ = false;
   bool finishing_ = false;
+  timer close_timer_;
   std::string input_;
   std::string output_;
 };
--- a/test/stop-schedule-test.cc
+++ b/test/stop-schedule-test.cc
@@ -32,6 +32,9 @@
   // A statement sent before may be waited for until the last sixth.
   BOOST_TEST(!schedule.over(start + 5s));
   BOOST_TEST(schedule.over(start + 6s - 100ms));
+  // The last answers have time to be sent.
+  BOOST_TEST(!schedule.expired(start + 5500ms));
+  BOOST_TEST(schedule.expired(start + 6s - 100ms));
 }
 
 BOOST_AUTO_TEST_CASE(a_statement_that_ends_in_time_is_sent_later_too) {
