Refuse the statement that crosses the close of its session

A caller whose write was on its way when a stopping instance closed the idle session got a bare end of the connection. It couldn't know whether the write ran, so it couldn't repeat it.

An idle session is told ERR BUSY with a retry delay before its connection ends. For a statement that crosses it, this is the promise that nothing of it ran, which holds: input is discarded from then on. Sessions that end with the process look for unread statements first.

--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -6,17 +6,21 @@
 
 using wire::failure_kind;
 
-// A few round trips to a caller: a statement that crosses the close would get
-// no answer, so it is refused instead.
+// A few round trips to a caller: it may have sent a statement, which is better
+// refused with a complete answer.
 constexpr duration min_idle = std::chrono::milliseconds(20);
 
 }  // namespace
 
 void client_session::close_if_idle() {
-  if (state_.loop.now() - answered_at_ < min_idle) return;
+  if (ended_ || state_.loop.now() - answered_at_ < min_idle) return;
   session_ptr keep(this);
   if (can_close()) stream_.poll_input();
-  if (!ended_ && opened_ && can_close()) finish();
+  if (ended_ || !opened_ || !can_close()) return;
+  wire::write_failure(stream_.output(), failure_kind::busy,
+                      text_of(refusal_reason::instance_stops),
+                      stop_retry_after);
+  finish();
 }
 
 bool client_session::may_send() const {
@@ -38,7 +42,10 @@
 }
 
 void client_session::give_up() {
+  if (ended_) return;
   session_ptr keep(this);
+  stream_.poll_input();
+  if (ended_) return;
   if (running_ && statement_.deferred) {
     fail_statement(failure_kind::outcome_unknown,
                    refusal_reason::instance_stops);
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -50,7 +50,8 @@
   bool running() const { return running_; }
   bool in_transaction() const { return transaction_phase_ != phase::none; }
   /// Closes the session if it can be closed, unless the caller may have sent a
-  /// statement right after the last answer.
+  /// statement right after the last answer. The caller gets an error, which
+  /// answers a statement that crosses the close.
   void close_if_idle();
   /// While the instance stops: refuses a statement that waits and can't be sent
   /// any more, and ends a transaction whose next statement can't be.
