Count a stop from the moment of its signal

A stop had its whole timeout from the moment at which the event loop handled the signal. A loop that was busy for longer than the margin at the end, 0.7 s, would be killed while it still accepted statements, and their callers would get no answer. Seen only in the test: no run of real processes showed it.

--- a/include/toucanmux/process/stop-schedule.h
+++ b/include/toucanmux/process/stop-schedule.h
@@ -12,8 +12,9 @@
 class stop_schedule {
  public:
   /// Starts the stop; a later call has no effect.
+  /// @param signalled_at when the stop signal was raised.
   /// @param timeout from the signal until the process is killed.
-  void begin(instant now, duration timeout);
+  void begin(instant signalled_at, duration timeout);
   bool begun() const { return begun_at_.has_value(); }
   /// The time since the stop began; 0 before.
   duration elapsed(instant now) const {
--- a/src/process/stop-schedule.cc
+++ b/src/process/stop-schedule.cc
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-void stop_schedule::begin(instant now, duration timeout) {
+void stop_schedule::begin(instant signalled_at, duration timeout) {
   if (begun_at_) return;
-  begun_at_ = now;
+  begun_at_ = signalled_at;
   timeout_ = timeout;
   notice_ = std::min<duration>(balancer_notice, timeout / 2);
 }
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -121,13 +121,13 @@
   if (number == SIGHUP) return reload();
   if (state_.stopping) return;
   state_.stopping = true;
-  state_.stop.begin(loop_.now(), state_.settings.shutdown_timeout);
+  state_.stop.begin(raised_at, state_.settings.shutdown_timeout);
   drain_ = drain({state_.stop.notice(), drain_linger});
   state_.log.write(journal_kind::process, "stopping",
                    {{"sessions", std::uint64_t{sessions_.size()}},
                     {"raised_ms", boot_time() - raised_at},
                     {"timeout_ms", state_.settings.shutdown_timeout}});
-  drain_.step(loop_.now(), drain::leave{});
+  drain_.step(raised_at, drain::leave{});
   loop_.arm_in(stop_timer_, stop_interval);
   peers_.expedite_reports();
   peers_.tick();
