Let statements behind a running one wait for it

A caller that wrote statements of together more than 1 MiB behind a running one got TOOBIG, and its session ended without the answer to the statement that a database was running: the limit for one line was applied to all unread input.

Input of a session is paused while its statement runs and the buffer is full. The limit counts for the line that is next.

statements_behind_a_running_one_wait_for_it failed before (no ROW for any of its four statements, one write instead of four) and passes.

--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -74,7 +74,9 @@
   if (ended_) return;
   input.erase(0, consumed);
   if (refused_for_stop_ && can_close()) return finish();
-  if (input.size() <= max_unread) return;
+  bool is_full = input.size() > max_unread;
+  stream_.pause_input(running_ && is_full);
+  if (running_ || !is_full) return;
   wire::write_failure(stream_.output(), failure_kind::too_big,
                       "line of more than 1 MiB", duration{0});
   finish();
--- a/src/proxy/event-loop.cc
+++ b/src/proxy/event-loop.cc
@@ -63,9 +63,10 @@
 }
 
 void event_loop::modify(int descriptor, descriptor_handler& handler,
-                        bool watch_writable) {
+                        bool watch_readable, bool watch_writable) {
   epoll_event event{};
-  event.events = EPOLLIN | (watch_writable ? EPOLLOUT : 0U);
+  event.events =
+      (watch_readable ? EPOLLIN : 0U) | (watch_writable ? EPOLLOUT : 0U);
   event.data.ptr = &handler;
   epoll_ctl(epoll_, EPOLL_CTL_MOD, descriptor, &event);
 }
--- a/src/proxy/event-loop.h
+++ b/src/proxy/event-loop.h
@@ -82,7 +82,8 @@
   /// `watch_writable`, when it becomes writable.
   /// @throws platform_error if the descriptor can't be watched.
   void watch(int descriptor, descriptor_handler& handler, bool watch_writable);
-  void modify(int descriptor, descriptor_handler& handler, bool watch_writable);
+  void modify(int descriptor, descriptor_handler& handler, bool watch_readable,
+              bool watch_writable);
   /// Stops reporting events to `handler`, including those already received in
   /// this turn.
   void unwatch(int descriptor, descriptor_handler& handler);
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -90,6 +90,7 @@
 void tcp_stream::send_end() {
   if (close_timer_.armed()) return;
   watch_writable(false);
+  pause_input(false);
   shutdown(descriptor_, SHUT_WR);
   loop_.arm_in(close_timer_, close_timeout);
 }
@@ -104,6 +105,7 @@
   descriptor_ = -1;
   connected_ = false;
   watching_writable_ = false;
+  input_paused_ = false;
   finishing_ = false;
   input_.clear();
   output_.clear();
@@ -161,7 +163,13 @@
 void tcp_stream::watch_writable(bool on) {
   if (on == watching_writable_) return;
   watching_writable_ = on;
-  loop_.modify(descriptor_, *this, on);
+  loop_.modify(descriptor_, *this, !input_paused_, on);
+}
+
+void tcp_stream::pause_input(bool paused) {
+  if (paused == input_paused_ || closed()) return;
+  input_paused_ = paused;
+  loop_.modify(descriptor_, *this, !paused, watching_writable_);
 }
 
 void tcp_stream::handle_disconnect() {
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -49,6 +49,8 @@
   /// The bytes received and not yet consumed.
   std::string& input() { return input_; }
   std::string_view unread() const { return input_; }
+  /// Leaves what arrives in the system's buffer, so that the peer has to wait.
+  void pause_input(bool paused);
   /// Receives what has arrived since the last event.
   void poll_input();
   /// Sends the queued bytes and the end of the stream, then discards input
@@ -77,6 +79,7 @@
   int descriptor_ = -1;
   bool connected_ = false;
   bool watching_writable_ = false;
+  bool input_paused_ = false;
   bool finishing_ = false;
   timer close_timer_;
   std::string input_;
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -481,4 +481,21 @@
   BOOST_TEST(max_connections <= 4U);
 }
 
+// Guards against a session that ends while its statement runs, since the
+// statements behind it are longer than the buffer for them.
+BOOST_AUTO_TEST_CASE(statements_behind_a_running_one_wait_for_it) {
+  auto caller = connect("orders");
+  first.defer_answers = true;
+  for (int i = 0; i < 4; ++i) {
+    caller->send("QUERY " + std::to_string(i) + " PUT 1a4 " +
+                 std::string(600'000, 'x'));
+  }
+  run_for(300ms);
+  BOOST_TEST(first.log_end == 101U);
+  first.send_deferred_answers();
+  for (int i = 0; i < 4; ++i)
+    BOOST_TEST(starts_with(caller->read_answer(), "ROW"));
+  BOOST_TEST(first.log_end == 104U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
