Close a session at a stop only after its answers are read

A stopping instance queued the end of a session behind answers that a slow caller was still reading.

Such a session stays open until its answers are sent, and refuses operations meanwhile.

--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -16,7 +16,7 @@
   if (ended_ || state_.loop.now() - answered_at_ < min_idle) return;
   session_ptr keep(this);
   if (can_close()) stream_.poll_input();
-  if (ended_ || !opened_ || !can_close()) return;
+  if (is_sending() || !opened_ || !can_close()) return;
   wire::write_failure(stream_.output(), failure_kind::busy,
                       text_of(refusal_reason::instance_stops),
                       stop_retry_after);
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -60,6 +60,9 @@
 void client_session::on_input() {
   if (handling_input_ || ended_) return;
   session_ptr keep(this);
+  // A caller that is late reading may send more statements until it learns of
+  // the end of its session.
+  bool caller_reads = stream_.unsent().empty();
   handling_input_ = true;
   std::string& input = stream_.input();
   std::size_t consumed = 0;
@@ -73,7 +76,7 @@
   handling_input_ = false;
   if (ended_) return;
   input.erase(0, consumed);
-  if (refused_for_stop_ && can_close()) return finish();
+  if (refused_for_stop_ && caller_reads && can_close()) return finish();
   bool is_full = input.size() > max_unread;
   stream_.pause_input(running_ && is_full);
   if (running_ || !is_full) return;
