--- a/include/toucanmux/process/stop-schedule.h
+++ b/include/toucanmux/process/stop-schedule.h
@@ -12,9 +12,14 @@
 class stop_schedule {
  public:
   /// Starts the stop; a later call has no effect.
+  /// @param signalled_at when the stop signal was raised.
   /// @param timeout from the signal until the process is killed.
-  void begin(instant now, duration timeout);
+  void begin(instant signalled_at, duration timeout);
   bool begun() const { return begun_at_.has_value(); }
+  /// The time since the stop began; 0 before.
+  duration elapsed(instant now) const {
+    return begun_at_ ? now - *begun_at_ : duration{0};
+  }
 
   /// From the signal until no new operations are accepted: callers are routed
   /// to other instances meanwhile.
@@ -27,6 +32,8 @@
   bool accepts_statement(instant now, instant deadline) const;
   /// Answers that are still missing have to be given up.
   bool over(instant now) const;
+  /// The process has to end, also if answers are still being sent.
+  bool expired(instant now) const;
 
  private:
   instant ends_at() const;
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -30,6 +30,16 @@
   state_.loop.arm_in(timer_, open_timeout);
 }
 
+client_session::~client_session() {
+  if (stream_.closed() || stream_.output().empty()) return;
+  ++state_.answers_cut;
+  state_.log.write(journal_kind::process, "answer_cut",
+                   {{"request", last_statement_id_},
+                    {"unsent_bytes", std::uint64_t{stream_.output().size()}},
+                    {"since_answer_ms", state_.loop.now() - answered_at_},
+                    {"stopping", state_.stopping}});
+}
+
 void client_session::finish() {
   if (ended_) return;
   session_ptr keep(this);
@@ -39,14 +49,20 @@
   release_link();
   return_token();
   stream_.finish();
-  owner_.on_session_ended(*this);
 }
 
-void client_session::on_closed() { finish(); }
+void client_session::on_closed() {
+  session_ptr keep(this);
+  finish();
+  owner_.on_session_ended(*this);
+}
 
 void client_session::on_input() {
   if (handling_input_ || ended_) return;
   session_ptr keep(this);
+  // A caller that is late reading may send more statements until it learns of
+  // the end of its session.
+  bool caller_reads = stream_.unsent().empty();
   handling_input_ = true;
   std::string& input = stream_.input();
   std::size_t consumed = 0;
@@ -60,8 +76,10 @@
   handling_input_ = false;
   if (ended_) return;
   input.erase(0, consumed);
-  if (refused_for_stop_ && can_close()) return finish();
-  if (input.size() <= max_unread) return;
+  if (refused_for_stop_ && caller_reads && can_close()) return finish();
+  bool is_full = input.size() > max_unread;
+  stream_.pause_input(running_ && is_full);
+  if (running_ || !is_full) return;
   wire::write_failure(stream_.output(), failure_kind::too_big,
                       "line of more than 1 MiB", duration{0});
   finish();
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -19,7 +19,7 @@
 
 class client_session;
 
-/// Owns client sessions; is notified when one ends.
+/// Owns client sessions; is notified when one and its connection have ended.
 class session_owner {
  public:
   virtual ~session_owner() = default;
@@ -36,6 +36,7 @@
                                           boost::thread_unsafe_counter> {
  public:
   client_session(proxy_state& state, session_owner& owner, int descriptor);
+  ~client_session() override;
 
   /// True if no statement was received without being answered, and no
   /// transaction is open.
@@ -43,17 +44,22 @@
     return !running_ && transaction_phase_ == phase::none &&
            stream_.unread().empty();
   }
+  /// True while an answer is being sent, or the session has ended and its
+  /// connection has not.
+  bool is_sending() const { return ended_ || !stream_.unsent().empty(); }
   bool running() const { return running_; }
   bool in_transaction() const { return transaction_phase_ != phase::none; }
   /// Closes the session if it can be closed, unless the caller may have sent a
-  /// statement right after the last answer.
+  /// statement right after the last answer. The caller gets an error, which
+  /// answers a statement that crosses the close.
   void close_if_idle();
   /// While the instance stops: refuses a statement that waits and can't be sent
   /// any more, and ends a transaction whose next statement can't be.
   void end_unsent_work();
   /// Answers a running statement without its result, and ends the session.
   void give_up();
-  /// Ends the session; answers that are already written are still sent.
+  /// Ends the session. Answers that are already written are still sent;
+  /// `on_session_ended` follows.
   void finish();
 
   void on_input() override;
--- a/src/proxy/proxy-process.cc
+++ b/src/proxy/proxy-process.cc
@@ -44,7 +44,7 @@
       tick_timer_([this] { tick(); }),
       stop_timer_([this] { advance_stop(); }),
       signals_(std::make_unique<signal_pipe>(
-          loop, [this](int number) { handle_signal(number); })),
+          loop, [this](int number, instant at) { handle_signal(number, at); })),
       readiness_port_(
           loop, settings.readiness_address,
           [this](std::string_view path) { return answer_probe(path); }),
@@ -66,8 +66,10 @@
   auto sessions = sessions_;
   for (const auto& session : sessions) session->finish();
   sessions.clear();
-  relay_server_.reset();
+  if (relay_server_) relay_server_->finish();
   loop_.turn(duration{0});
+  relay_server_.reset();
+  sessions_.clear();
 }
 
 void proxy_process::start() {
@@ -84,6 +86,7 @@
   loop_.run();
   state_.log.write(journal_kind::process, "stop",
                    {{"sessions", std::uint64_t{sessions_.size()}},
+                    {"taken_ms", state_.stop.elapsed(loop_.now())},
                     {"dropped_lines", state_.log.dropped()}});
 }
 
@@ -98,7 +101,6 @@
 }
 
 void proxy_process::on_session_ended(client_session& session) {
-  // Deferred to the end of the turn, so that the last answer is sent first.
   erase_deferred(loop_, sessions_, session);
 }
 
@@ -115,15 +117,17 @@
          state_.confirmation.valid(loop_.now());
 }
 
-void proxy_process::handle_signal(int number) {
+void proxy_process::handle_signal(int number, instant raised_at) {
   if (number == SIGHUP) return reload();
   if (state_.stopping) return;
   state_.stopping = true;
-  state_.stop.begin(loop_.now(), state_.settings.shutdown_timeout);
+  state_.stop.begin(raised_at, state_.settings.shutdown_timeout);
   drain_ = drain({state_.stop.notice(), drain_linger});
   state_.log.write(journal_kind::process, "stopping",
-                   {{"sessions", std::uint64_t{sessions_.size()}}});
-  drain_.step(loop_.now(), drain::leave{});
+                   {{"sessions", std::uint64_t{sessions_.size()}},
+                    {"raised_ms", boot_time() - raised_at},
+                    {"timeout_ms", state_.settings.shutdown_timeout}});
+  drain_.step(raised_at, drain::leave{});
   loop_.arm_in(stop_timer_, stop_interval);
   peers_.expedite_reports();
   peers_.tick();
@@ -231,11 +235,11 @@
   instant now = loop_.now();
   if (!state_.stop.accepts_operations(now)) close_idle_sessions();
   if (!state_.stop.accepts_statement(now, instant::max())) end_unsent_work();
+  if (state_.stop.over(now) && !work_given_up_) give_up_work();
   drain_.step(now, drain::work{busy_sessions()});
   drain_.step(now, drain::tick{});
-  if (state_.stop.over(now)) give_up_work();
-  bool ended = drain_.state() == drain::phase::drained || state_.stop.over(now);
-  if (ended) return loop_.stop();
+  bool drained = drain_.state() == drain::phase::drained;
+  if (drained || state_.stop.expired(now)) return loop_.stop();
   loop_.arm_in(stop_timer_, stop_interval);
 }
 
@@ -251,6 +255,7 @@
 
 // Callers learn whether the outcome of their statement is known.
 void proxy_process::give_up_work() {
+  work_given_up_ = true;
   auto count_if = [this](auto predicate) {
     return static_cast<std::uint64_t>(
         std::count_if(sessions_.begin(), sessions_.end(), predicate));
@@ -268,8 +273,10 @@
 }
 
 std::uint64_t proxy_process::busy_sessions() const {
-  auto busy = std::count_if(sessions_.begin(), sessions_.end(),
-                            [](const auto& s) { return !s->can_close(); });
+  auto busy = std::count_if(
+      sessions_.begin(), sessions_.end(), [](const auto& session) {
+        return !session->can_close() || session->is_sending();
+      });
   auto out = static_cast<std::uint64_t>(busy);
   if (relay_server_) out += relay_server_->busy_sessions();
   return out;
@@ -283,6 +290,7 @@
 void proxy_process::update_metrics() {
   auto& metrics = state_.metrics;
   metrics.set("sessions", static_cast<double>(sessions_.size()));
+  metrics.set("answers_cut", static_cast<double>(state_.answers_cut));
   metrics.set("store_calls", static_cast<double>(store_.calls()));
   metrics.set("store_generation", static_cast<double>(state_.store.current()));
   metrics.set("dropped_log_lines", static_cast<double>(state_.log.dropped()));
