--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -37,6 +37,10 @@
  public:
   client_session(proxy_state& state, session_owner& owner, int descriptor);
   ~client_session() override;
+  client_session(const client_session&) = delete;
+  client_session(client_session&&) = delete;
+  client_session& operator=(const client_session&) = delete;
+  client_session& operator=(client_session&&) = delete;
 
   /// True if no statement was received without being answered, and no
   /// transaction is open.
--- a/test/standin/proxy/slow-caller.h
+++ b/test/standin/proxy/slow-caller.h
@@ -21,8 +21,8 @@
     int size = 4096;
     setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
     auto address = to_sockaddr(server);
-    ::connect(descriptor_, reinterpret_cast<sockaddr*>(&address),
-              sizeof(address));
+    [[maybe_unused]] auto result = ::connect(
+        descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
     fcntl(descriptor_, F_SETFL, O_NONBLOCK);
   }
   ~slow_caller() { close(descriptor_); }
