Deliver responses before a connection is closed

A caller that reads slowly got part of a response from a toucanmux-entry that drains, and so did one whose transaction ended during the drain, or whose response took longer than the idle timeout: the connection was closed with the rest of the response in its buffer, and the process could end.

Cause: whether a connection may be closed was decided by whether a request is served, not by whether its response is delivered.

A connection now ends its sending side behind its responses and closes when the caller does. Without progress it closes 10 s after the caller last took bytes, and 2 s after delivery if the caller leaves its side open; before, such a caller kept the process for the whole idle timeout after a last response. Bytes in the kernel count as undelivered, since its buffer reports space only by the third. Transactions that a drain ends are still rolled back at once.

Ruled out: entry_thread::idle() needs no change, as it counts connections until they are closed.

--- a/src/connection/http-connection.cc
+++ b/src/connection/http-connection.cc
@@ -114,10 +114,7 @@
   socket_.write(bytes);
   serving_request_ = false;
   phase_started_at_ = now();
-  if (!keep_open) {
-    socket_.finish();
-    return;
-  }
+  if (!keep_open) return start_close();
   if (may_have_unread_ || !input_.empty()) {
     QTimer::singleShot(0, &context_, [this] { handle_readable(); });
   }
@@ -138,26 +135,39 @@
 void http_connection::drain() {
   draining_ = true;
   if (!in_request()) handle_readable();
-  if (!in_request() && !held_) close_idle();
+  if (!in_request() && !held_) start_close();
 }
 
 void http_connection::release() {
   held_ = false;
-  if (draining_ && !in_request()) close_idle();
+  if (draining_ && !in_request()) start_close();
 }
 
 void http_connection::enforce_timeouts(instant current_time) {
   if (serving_request_) return;
+  if (closing_) return enforce_close(current_time);
   bool reading_request = in_request();
   auto timeout =
       reading_request ? limits_.request_timeout : limits_.idle_timeout;
   if (current_time - phase_started_at_ < timeout) return;
   if (reading_request) return refuse(408, "request too slow: send it whole");
-  close_idle();
+  start_close();
+}
+
+// Shuts down the sending side behind the responses. The connection ends when
+// the caller closes its side, because closing it earlier could reset it and
+// destroy responses in flight.
+void http_connection::start_close() {
+  if (closing_ || ended_) return;
+  closing_ = true;
+  socket_.finish();
+  delivery_.check(now(), socket_.undelivered());
 }
 
-// Closes an idle connection; `on_closed` is called afterwards.
-void http_connection::close_idle() {
+void http_connection::enforce_close(instant current_time) {
+  auto undelivered = socket_.undelivered();
+  auto timeout = undelivered > 0 ? limits_.send_timeout : limits_.close_timeout;
+  if (delivery_.check(current_time, undelivered) < timeout) return;
   socket_.abort();
   handle_close();
 }
--- a/src/connection/http-connection.h
+++ b/src/connection/http-connection.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "connection/delivery-watch.h"
 #include "connection/http-message.h"
 #include "connection/stream-socket.h"
 #include "toucanmux/core.h"
@@ -21,6 +22,11 @@
   duration request_timeout = std::chrono::seconds(10);
   /// Maximum time between two requests.
   duration idle_timeout = std::chrono::minutes(10);
+  /// Maximum time in which the caller of a closing connection takes no byte.
+  duration send_timeout = std::chrono::seconds(10);
+  /// Maximum time from the delivery of the last response until the caller
+  /// closes its side.
+  duration close_timeout = std::chrono::seconds(2);
 };
 
 /// The server side of an HTTP/1.1 connection. Serves one request at a time, in
@@ -40,8 +46,8 @@
   Q_DISABLE_COPY_MOVE(http_connection)
 
   void respond(http_response&& response);
-  /// Closes the connection after the current request, or at once if there is
-  /// none. A held connection stays open until it is released.
+  /// Closes the connection after the current request, once all responses are
+  /// delivered. A held connection stays open until it is released.
   void drain();
   /// Holds the connection, for further requests that belong together.
   void hold() { held_ = true; }
@@ -59,7 +65,8 @@
   void handle_readable();
   void parse();
   void refuse(unsigned status, std::string_view remedy);
-  void close_idle();
+  void start_close();
+  void enforce_close(instant current_time);
   void handle_close();
 
   // Receiver of posted calls: destroying it cancels the pending ones.
@@ -71,11 +78,13 @@
   std::unique_ptr<parser_state> parser_;
   std::string input_;
   instant phase_started_at_;  ///< Start of the request or of the idle time.
+  delivery_watch delivery_;   ///< Used while closing.
   bool serving_request_ = false;
   bool may_have_unread_ = false;  ///< Bytes may have arrived during a request.
   bool keep_alive_ = true;
   bool draining_ = false;
   bool held_ = false;
+  bool closing_ = false;  ///< No further response follows.
   bool ended_ = false;
 };
 
--- a/src/connection/stream-socket.h
+++ b/src/connection/stream-socket.h
@@ -39,6 +39,8 @@
   /// Closes the connection now; `on_closed` is not called.
   void abort();
 
+  /// The number of written bytes that the peer has not acknowledged.
+  std::size_t undelivered() const;
   bool connected() const { return state_ == state::connected; }
   /// True if the connection was ever established. If not, no byte was sent.
   bool was_connected() const { return was_connected_; }
--- a/src/process/entry-thread.cc
+++ b/src/process/entry-thread.cc
@@ -63,12 +63,15 @@
 
 void entry_thread::drain() { server_.drain(); }
 
-// Closing a connection rolls its transaction back.
+// A connection with a request rolls its transactions back when it is closed.
 void entry_thread::end_transactions() {
   std::vector<http_connection*> callers;
   for (const auto& [id, transaction] : transactions_)
     callers.push_back(transaction.caller);
-  for (auto* caller : callers) caller->release();
+  for (auto* caller : callers) {
+    if (!caller->in_request()) roll_back_all(*caller);
+    caller->release();
+  }
 }
 
 pool_link& entry_thread::link(const endpoint& to) {
@@ -153,6 +156,10 @@
     auto& one = *it++;
     if (one.caller() == &caller) one.handle_caller_disconnect();
   }
+  roll_back_all(caller);
+}
+
+void entry_thread::roll_back_all(const http_connection& caller) {
   for (auto it = transactions_.begin(); it != transactions_.end();) {
     if (it->second.caller != &caller) {
       ++it;
--- a/src/process/entry-thread.h
+++ b/src/process/entry-thread.h
@@ -50,7 +50,8 @@
   void drain();
   /// Ends the open transactions that are left, after their current request.
   void end_transactions();
-  /// True if no request is in flight and no caller is connected.
+  /// True if no request is in flight, no response is undelivered and no caller
+  /// is connected.
   bool idle() const { return requests_.empty() && server_.size() == 0; }
   std::size_t callers() const { return server_.size(); }
 
@@ -88,7 +89,9 @@
  private:
   void handle_request(http_connection& caller, http_request&& request);
   void handle_caller_closed(http_connection& caller);
+  void roll_back_all(const http_connection& caller);
   void apply_hint(const group_hint& new_hint);
+
   hello greeting_;
   token_codec tokens_;
   admit_function admit_;
