Run no request after the last response of a connection

A caller whose next request crossed a response with "Connection: close", as every connection gets one in a drain, had it run without an answer: the response was written behind the end of the sending side. The caller can't tell that it ran, and a retry runs it again.

Cause: a connection that was ending still parsed what it received. It now drops it.

Before the change a_request_after_the_last_response_is_not_run failed: two requests ran.

--- a/src/connection/http-connection.cc
+++ b/src/connection/http-connection.cc
@@ -67,6 +67,7 @@
 
 void http_connection::handle_readable() {
   if (ended_) return;
+  if (closing_) return socket_.discard();
   // Pipelined requests stay in the bounded receive buffer of the socket.
   may_have_unread_ = serving_request_;
   if (serving_request_) return;
--- a/src/connection/stream-socket.cc
+++ b/src/connection/stream-socket.cc
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::size_t read_chunk_bytes = 16U << 10U;
+// A peer that sends without pause must not hold the thread.
+constexpr int max_discarded_chunks = 64;
 
 void set_no_delay(int descriptor) {
   int enabled = 1;
@@ -62,20 +64,31 @@
   on_connected_ = std::move(on_connected);
 }
 
-// Reads through one buffer per thread: a large buffer for each connection, even
-// a short-lived one, fragments the heap.
-void stream_socket::read(std::string& buffer, std::size_t limit) {
+// Receives into one buffer per thread: a large buffer for each connection, even
+// a short-lived one, fragments the heap. Returns nothing if no byte is left.
+std::span<const char> stream_socket::receive(std::size_t limit) {
   thread_local std::array<char, read_chunk_bytes> chunk;
-  while (state_ == state::connected && buffer.size() < limit) {
-    auto chunk_limit = std::min(chunk.size(), limit - buffer.size());
-    auto received = recv(descriptor_, chunk.data(), chunk_limit, 0);
-    if (received <= 0) {
-      bool would_block = received < 0 && (errno == EAGAIN || errno == EINTR);
-      peer_closed_ = peer_closed_ || !would_block;
-      return;
-    }
-    buffer.append(chunk.data(), static_cast<std::size_t>(received));
-    if (static_cast<std::size_t>(received) < chunk_limit) return;
+  if (state_ != state::connected) return {};
+  auto received =
+      recv(descriptor_, chunk.data(), std::min(chunk.size(), limit), 0);
+  if (received > 0) return {chunk.data(), static_cast<std::size_t>(received)};
+  bool would_block = received < 0 && (errno == EAGAIN || errno == EINTR);
+  peer_closed_ = peer_closed_ || !would_block;
+  return {};
+}
+
+void stream_socket::read(std::string& buffer, std::size_t limit) {
+  while (buffer.size() < limit) {
+    auto chunk_limit = std::min(read_chunk_bytes, limit - buffer.size());
+    auto received = receive(chunk_limit);
+    buffer.append(received.data(), received.size());
+    if (received.size() < chunk_limit) return;
+  }
+}
+
+void stream_socket::discard() {
+  for (int i = 0; i < max_discarded_chunks; ++i) {
+    if (receive(read_chunk_bytes).empty()) return;
   }
 }
 
--- a/src/connection/stream-socket.h
+++ b/src/connection/stream-socket.h
@@ -3,6 +3,7 @@
 #include <QtGlobal>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,9 @@
 
   /// Appends received bytes to `buffer` until it holds `limit` bytes.
   void read(std::string& buffer, std::size_t limit);
+  /// Drops received bytes. Unread ones would reset the connection when it is
+  /// closed.
+  void discard();
   /// Sends as many bytes as the connection accepts now and queues the rest.
   void write(std::string_view bytes);
   /// Shuts down the sending side once all queued bytes are sent.
@@ -49,6 +53,7 @@
   friend class socket_poller;
   enum class state : std::uint8_t { connecting, connected, ended };
 
+  std::span<const char> receive(std::size_t limit);
   void handle_events(std::uint32_t events);
   void handle_connected();
   void flush();
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -145,4 +145,17 @@
   wait_until([&] { return closed; });
 }
 
+// Guards against requests that run although no response can follow.
+BOOST_FIXTURE_TEST_CASE(a_request_after_the_last_response_is_not_run,
+                        slow_caller) {
+  start_request();
+  respond(true);
+  caller.read_to_end();
+  caller.write(request);
+  caller.finish();
+  wait_until([&] { return closed; });
+  BOOST_TEST(request_count == 1);
+  BOOST_TEST(whole_response_received());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
