Send the pool's answers before it ends

An entry that is slow to read its link lost answers when the pool was stopped: they waited in the pool's buffer while the process ended. Writes among them were reported to callers as of unknown outcome.

Cause: a pool counted as idle once its workers had no statement, whether their answers had been sent or not. It now waits for the buffers of its links, but no longer than 10 s for an entry that takes nothing.

With the check of the links left out, a_pool_is_idle_once_its_answers_are_sent failed (no answer arrived), and so did an_entry_that_takes_nothing_does_not_keep_a_pool, which requires the pool to wait at first.

--- a/src/connection/delivery-watch.h
+++ b/src/connection/delivery-watch.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 
 #include "toucanmux/core.h"
 
 namespace toucanmux {
 
+/// Default for the time after which a peer that takes no byte is given up.
+inline constexpr std::chrono::seconds default_send_timeout{10};
+
 /// Measures how long a peer has taken none of the bytes that wait for it.
 class delivery_watch {
  public:
--- a/src/connection/frame-link.h
+++ b/src/connection/frame-link.h
@@ -35,6 +35,10 @@
   bool connected() const { return socket_.connected(); }
   /// True if the connection was ever established. If not, no byte was sent.
   bool was_connected() const { return socket_.was_connected(); }
+  /// True if messages, or a part of one, wait in this process.
+  bool has_unsent() const { return socket_.has_unsent(); }
+  /// The number of bytes that the peer has not acknowledged.
+  std::size_t undelivered() const { return socket_.undelivered(); }
   /// Closes the connection at once; `on_closed` is called afterwards.
   void abort();
 
--- a/src/connection/http-connection.h
+++ b/src/connection/http-connection.h
@@ -23,7 +23,7 @@
   /// Maximum time between two requests.
   duration idle_timeout = std::chrono::minutes(10);
   /// Maximum time in which the caller of a closing connection takes no byte.
-  duration send_timeout = std::chrono::seconds(10);
+  duration send_timeout = default_send_timeout;
   /// Maximum time from the delivery of the last response until the caller
   /// closes its side.
   duration close_timeout = std::chrono::seconds(2);
--- a/src/connection/stream-socket.h
+++ b/src/connection/stream-socket.h
@@ -43,6 +43,8 @@
   /// Closes the connection now; `on_closed` is not called.
   void abort();
 
+  /// True if written bytes wait in this process.
+  bool has_unsent() const { return !output_.empty(); }
   /// The number of written bytes that the peer has not acknowledged.
   std::size_t undelivered() const;
   bool connected() const { return state_ == state::connected; }
--- a/src/process/pool-process.cc
+++ b/src/process/pool-process.cc
@@ -1,5 +1,6 @@
 #include "process/pool-process.h"
 
+#include "process/clock.h"
 #include "process/log.h"
 #include "process/status-page.h"
 #include "process/timeline.h"
@@ -116,7 +117,7 @@
 bool pool_process::idle() {
   bool idle = true;
   for (auto& one : threads_) {
-    one->thread.run([&] { idle = idle && one->state->idle(); });
+    one->thread.run([&] { idle = idle && one->state->idle(now()); });
   }
   return idle;
 }
--- a/src/process/pool-thread.cc
+++ b/src/process/pool-thread.cc
@@ -1,5 +1,7 @@
 #include "process/pool-thread.h"
 
+#include "connection/delivery-watch.h"
+
 namespace toucanmux {
 
 namespace {
@@ -18,7 +20,18 @@
 struct pool_thread::entry_link {
   explicit entry_link(int descriptor) : link(descriptor) {}
 
+  // Answers that are left in this process are lost when it ends.
+  bool all_sent(instant current_time) {
+    if (!link.has_unsent()) {
+      delivery = {};
+      return true;
+    }
+    return delivery.check(current_time, link.undelivered()) >=
+           default_send_timeout;
+  }
+
   frame_link link;
+  delivery_watch delivery;
   std::unordered_map<std::uint64_t, std::size_t> waiting;
 };
 
@@ -71,10 +84,13 @@
   for (auto& [id, worker] : workers_) worker->drain();
 }
 
-bool pool_thread::idle() const {
+bool pool_thread::idle(instant current_time) {
   for (const auto& [id, worker] : workers_) {
     if (!worker->idle()) return false;
   }
+  for (const auto& [id, one] : links_) {
+    if (!one->all_sent(current_time)) return false;
+  }
   return true;
 }
 
--- a/src/process/pool-thread.h
+++ b/src/process/pool-thread.h
@@ -34,8 +34,10 @@
   void update(const group_state& state);
   /// Refuses new work; running statements and open transactions continue.
   void drain();
-  /// True if no worker has a waiting or running statement or a transaction.
-  bool idle() const;
+  /// True if no worker has a waiting or running statement or a transaction and
+  /// all answers are sent. Answers to an entry that takes no byte for
+  /// `default_send_timeout` don't count.
+  bool idle(instant current_time);
 
  private:
   struct entry_link;
