--- a/src/connection/stream-socket.h
+++ b/src/connection/stream-socket.h
@@ -3,6 +3,7 @@
 #include <QtGlobal>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,9 @@
 
   /// Appends received bytes to `buffer` until it holds `limit` bytes.
   void read(std::string& buffer, std::size_t limit);
+  /// Drops received bytes. Unread ones would reset the connection when it is
+  /// closed.
+  void discard();
   /// Sends as many bytes as the connection accepts now and queues the rest.
   void write(std::string_view bytes);
   /// Shuts down the sending side once all queued bytes are sent.
@@ -39,6 +43,10 @@
   /// Closes the connection now; `on_closed` is not called.
   void abort();
 
+  /// True if written bytes wait in this process.
+  bool has_unsent() const { return !output_.empty(); }
+  /// The number of written bytes that the peer has not acknowledged.
+  std::size_t undelivered() const;
   bool connected() const { return state_ == state::connected; }
   /// True if the connection was ever established. If not, no byte was sent.
   bool was_connected() const { return was_connected_; }
@@ -47,6 +55,7 @@
   friend class socket_poller;
   enum class state : std::uint8_t { connecting, connected, ended };
 
+  std::span<const char> receive(std::size_t limit);
   void handle_events(std::uint32_t events);
   void handle_connected();
   void flush();
