Check in the soak that a planned stop cuts off no statement

A connection that ended was normal to the callers of the soak, so a statement that a stopping instance dropped was not noticed.

Each statement that was sent whole and whose connection ends before its answer is complete is now judged by rule LOST: it is a violation if a database received it or if more than 200 ms had passed, unless its time limit was reached, the database was still at work in the last sixth of the grace time, or there was unplanned trouble at the instance, the databases or the store since 4 s before it. Trouble is recorded where it is injected.

A run begins with 8 s of planned work only: single, simultaneous and rolling restarts, each with SIGHUP, a new configuration or a second SIGTERM during the stop. Callers pipeline, send a line in two halves, read large answers slowly, and send just when idle sessions are closed; a database can be slow. Faults are drawn in their own order, so they follow from the seed.

--- a/test/soak/fault-relay.cc
+++ b/test/soak/fault-relay.cc
@@ -1,5 +1,7 @@
 #include "soak/fault-relay.h"
 
+#include <algorithm>
+
 #include "proxy/erase-deferred.h"
 #include "standin/proxy/loopback.h"
 
@@ -25,6 +27,7 @@
   }
 
   void mute() { muted_ = true; }
+  bool muted() const { return muted_; }
   void end() {
     client_.stream.close();
     server_.stream.close();
@@ -101,4 +104,11 @@
   for (auto& connection : connections_) connection->mute();
 }
 
+bool fault_relay::in_trouble() const {
+  return delay > duration{0} || holds_to_target || holds_to_client ||
+         std::any_of(
+             connections_.begin(), connections_.end(),
+             [](const auto& connection) { return connection->muted(); });
+}
+
 }  // namespace toucanmux::soak
--- a/test/soak/fault-relay.h
+++ b/test/soak/fault-relay.h
@@ -25,6 +25,8 @@
   /// Stops forwarding on the connections that are open now, without closing
   /// them; later connections work.
   void mute_open_connections();
+  /// Bytes are delayed or held back, or an open connection is muted.
+  bool in_trouble() const;
 
   /// Holds back bytes for the target until cleared.
   bool holds_to_target = false;
--- a/test/soak/soak-environment.cc
+++ b/test/soak/soak-environment.cc
@@ -1,6 +1,7 @@
 #include "soak/soak-environment.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 
@@ -17,16 +18,40 @@
 constexpr duration heartbeat = milliseconds(400);
 // Time a process has to end after SIGTERM; the next process starts after it.
 constexpr int grace_s = 2;
+constexpr int statement_timeout_ms = 800;
+// Time for the fleet to start before planned work begins.
+constexpr duration start_time = milliseconds(1500);
+// More than the longest time from SIGTERM until the instance serves again.
+constexpr duration stop_settling = seconds(4);
+// Less than the time for which a stopping process runs at least.
+constexpr int shortest_stop_ms = 900;
+constexpr int max_slow_readers = 12;
+constexpr duration slow_work = milliseconds(350);
+// More than the kernel's buffers hold for a slow reader.
+constexpr unsigned large_rows = 24;
 // Far longer than recovery takes on a slow machine, so a fleet that exceeds it
 // will not recover.
 constexpr duration recovery_timeout = seconds(120);
 
+caller_kind kind_of(int number) {
+  constexpr std::array kinds{caller_kind::plain,       caller_kind::pipelining,
+                             caller_kind::slow_reader, caller_kind::halting,
+                             caller_kind::idle,        caller_kind::plain};
+  auto kind = kinds[static_cast<std::size_t>(number) % kinds.size()];
+  bool too_many = number / static_cast<int>(kinds.size()) >= max_slow_readers;
+  return kind == caller_kind::slow_reader && too_many ? caller_kind::plain
+                                                      : kind;
+}
+
 }  // namespace
 
 soak_environment::soak_environment(event_loop& loop, const soak_plan& plan)
     : loop_(loop),
       plan_(plan),
       random_(plan.seed),
+      fault_random_(plan.seed),
+      stop_check_(plan.instances, seconds(grace_s),
+                  milliseconds(statement_timeout_ms)),
       store_(loop),
       timer_([this] { tick(); }) {
   write_config();
@@ -40,6 +65,8 @@
 void soak_environment::add_database(const std::string& id) {
   database out;
   out.server = std::make_unique<standin::line_database>(loop_, id, "ledger");
+  out.server->slow_work = slow_work;
+  out.server->large_rows = large_rows;
   out.relay = std::make_unique<fault_relay>(loop_, out.server->entry().address);
   databases_.push_back(std::move(out));
 }
@@ -64,16 +91,13 @@
        << to_text(store_.address()) << "\"\n";
   file.close();
   instances_.push_back(std::move(out));
-  send_command("start " + name);
+  start(number);
 }
 
 void soak_environment::add_caller(int number) {
   caller_hooks hooks;
-  hooks.pick_instance = [this] {
-    auto last = static_cast<int>(instances_.size()) - 1;
-    return instances_[static_cast<std::size_t>(draw(random_, 0, last))]
-        .client_address;
-  };
+  for (const auto& each : instances_)
+    hooks.instances.push_back(each.client_address);
   hooks.api_key = [this] { return api_key(); };
   hooks.on_outcome = [this](const soak_outcome& outcome) {
     outcomes_.push_back(outcome);
@@ -89,8 +113,13 @@
            ", acknowledged up to " + std::to_string(needed));
     };
   };
+  hooks.on_cut = [this](cut_statement cut) {
+    cut.open_until = previous_turn_;
+    cut.noticed_at = boot_time();
+    stop_check_.on_cut(cut);
+  };
   callers_.push_back(std::make_unique<soak_caller>(
-      loop_, hooks, "c" + std::to_string(number), random_()));
+      loop_, hooks, "c" + std::to_string(number), random_(), kind_of(number)));
 }
 
 std::string soak_environment::api_key() const {
@@ -101,7 +130,8 @@
   store_.put(
       "config", "main",
       "{\"version\":" + std::to_string(config_version_) +
-          R"(,"routes":[{"host":"orders","kind":"primary","timeout_ms":800,
+          R"(,"routes":[{"host":"orders","kind":"primary","timeout_ms":)" +
+          std::to_string(statement_timeout_ms) + R"(,
           "goal_ms":250,"priority":1,"service":"ledger","public":false}],
           "services":[{"name":"ledger","max_conns":40,"sync_replicas":0}],
           "limits":{"tx_idle_ms":3000},"tenants":[{"name":"glaziers",
@@ -134,6 +164,7 @@
 
 void soak_environment::tick() {
   instant now = loop_.now();
+  report_trouble();
   if (now >= next_heartbeat_) write_heartbeats();
   apply_failovers();
   for (std::size_t i = 0; i < scheduled_calls_.size(); ++i) {
@@ -143,7 +174,8 @@
                            static_cast<std::ptrdiff_t>(i--));
     callback();
   }
-  if (injecting_faults_ && now >= next_fault_) inject_fault();
+  while (injecting_faults_ && now >= next_fault_) inject_fault();
+  report_trouble();
   loop_.arm_in(timer_, tick_interval);
 }
 
@@ -208,59 +240,155 @@
   former.server->is_primary = false;
 }
 
+void soak_environment::report_trouble() {
+  instant now = boot_time();
+  bool shared =
+      store_.silent ||
+      std::any_of(databases_.begin(), databases_.end(), [](const auto& each) {
+        return each.server->silent || each.server->answers_to_lose > 0 ||
+               each.relay->in_trouble();
+      });
+  if (shared) stop_check_.on_shared_trouble(now);
+  for (int i = 0; i < plan_.instances; ++i) {
+    const auto& each = instances_[static_cast<std::size_t>(i)];
+    if (each.in_trouble || each.store_relay->in_trouble())
+      stop_check_.on_trouble(i, now);
+  }
+}
+
+// The planned times don't depend on the delays of the loop, so that every draw
+// follows from the seed.
 void soak_environment::inject_fault() {
-  next_fault_ = loop_.now() + milliseconds(draw(random_, 200, 1500));
+  fault_time_ = next_fault_;
+  next_fault_ += milliseconds(draw(fault_random_, 200, 1500));
+  fault_time_ < unplanned_from_ ? inject_planned_work()
+                                : inject_unplanned_fault();
+}
+
+void soak_environment::inject_unplanned_fault() {
   int last_instance = plan_.instances - 1;
-  switch (draw(random_, 0, 4)) {
+  switch (draw(fault_random_, 0, 4)) {
     case 0:
     case 1:
-      return inject_instance_fault(draw(random_, 0, last_instance));
+      return inject_instance_fault(draw(fault_random_, 0, last_instance));
     case 2:
       return inject_database_fault(
-          databases_[static_cast<std::size_t>(draw(random_, 0, 2))]);
+          databases_[static_cast<std::size_t>(draw(fault_random_, 0, 2))]);
     case 3:
-      return inject_store_fault(draw(random_, 0, last_instance));
+      return inject_store_fault(draw(fault_random_, 0, last_instance));
     default:
-      ++config_version_;
-      ++key_number_;
-      faults_.push_back("keys");
-      return write_config();
+      return change_keys();
   }
 }
 
-void soak_environment::inject_instance_fault(int number) {
-  auto& target = instances_[static_cast<std::size_t>(number)];
-  auto name = std::to_string(number);
-  if (loop_.now() < target.settled_at) return;
-  target.settled_at = loop_.now() + seconds(3);
-  switch (draw(random_, 0, 3)) {
+// Stops come alone, at the same time or as a rolling restart.
+void soak_environment::inject_planned_work() {
+  int first = draw(fault_random_, 0, plan_.instances - 1);
+  int count = draw(fault_random_, 1, std::min(plan_.instances, 8));
+  auto gap = milliseconds(draw(fault_random_, 100, 1000));
+  switch (draw(fault_random_, 0, 5)) {
     case 0:
-      faults_.push_back("kill " + name);
-      send_command("signal KILL " + name);
-      return call_later(milliseconds(draw(random_, 50, 1500)),
-                        [this, name] { send_command("start " + name); });
+      return hang_up(first);
     case 1:
-      faults_.push_back("pause " + name);
-      send_command("signal STOP " + name);
-      return call_later(milliseconds(draw(random_, 100, 3000)),
-                        [this, name] { send_command("signal CONT " + name); });
+      return change_keys();
     case 2:
-      faults_.push_back("term " + name);
-      send_command("signal TERM " + name);
-      return call_later(seconds(grace_s),
-                        [this, name] { send_command("start " + name); });
+      gap = milliseconds(0);
+      break;
     default:
-      faults_.push_back("hup " + name);
-      return send_command("signal HUP " + name);
+      break;
   }
+  for (int i = 0; i < count; ++i)
+    plan_stop((first + i) % plan_.instances, gap * i);
+}
+
+void soak_environment::inject_instance_fault(int number) {
+  auto& target = instances_[static_cast<std::size_t>(number)];
+  if (fault_time_ < target.settled_at) return;
+  auto kind = draw(fault_random_, 0, 3);
+  if (kind == 2) return plan_stop(number, duration{0});
+  target.settled_at = fault_time_ + seconds(3);
+  if (kind == 0) return kill_instance(number);
+  if (kind == 1) return pause_instance(number);
+  hang_up(number);
+}
+
+void soak_environment::kill_instance(int number) {
+  faults_.push_back("kill " + std::to_string(number));
+  instances_[static_cast<std::size_t>(number)].in_trouble = true;
+  signal("KILL", number);
+  call_later(milliseconds(draw(fault_random_, 50, 1500)),
+             [this, number] { start(number); });
+}
+
+void soak_environment::pause_instance(int number) {
+  faults_.push_back("pause " + std::to_string(number));
+  auto& target = instances_[static_cast<std::size_t>(number)];
+  target.in_trouble = true;
+  signal("STOP", number);
+  call_later(milliseconds(draw(fault_random_, 100, 3000)),
+             [this, &target, number] {
+               signal("CONT", number);
+               target.in_trouble = false;
+             });
+}
+
+// Plans SIGTERM, other work during the stop, SIGKILL as by the platform, and
+// the next start.
+void soak_environment::plan_stop(int number, duration delay) {
+  auto& target = instances_[static_cast<std::size_t>(number)];
+  auto stop_time = fault_time_ + delay;
+  if (stop_time < target.settled_at) return;
+  target.settled_at = stop_time + stop_settling;
+  auto killed_after = delay + seconds(grace_s);
+  auto started_after = killed_after + milliseconds(draw(fault_random_, 0, 800));
+  auto next_after =
+      delay + milliseconds(draw(fault_random_, 50, shortest_stop_ms));
+  auto next = draw(fault_random_, 0, 3);
+  call_later(delay, [this, number] { stop_instance(number); });
+  call_later(killed_after, [this, number] { signal("KILL", number); });
+  call_later(started_after, [this, number] { start(number); });
+  if (next == 0) call_later(next_after, [this, number] { hang_up(number); });
+  if (next == 1) call_later(next_after, [this] { change_keys(); });
+  if (next == 2)
+    call_later(next_after, [this, number] { stop_instance(number); });
+}
+
+void soak_environment::stop_instance(int number) {
+  faults_.push_back("term " + std::to_string(number));
+  signal("TERM", number);
+  stop_check_.on_stop(number, boot_time());
+  auto closes_at = boot_time() + seconds(grace_s) / 2;
+  for (auto& caller : callers_) caller->expect_close(number, closes_at);
+}
+
+void soak_environment::hang_up(int number) {
+  faults_.push_back("hup " + std::to_string(number));
+  signal("HUP", number);
+}
+
+void soak_environment::change_keys() {
+  ++config_version_;
+  ++key_number_;
+  faults_.push_back("keys");
+  write_config();
+}
+
+void soak_environment::signal(const std::string& name, int number) {
+  send_command("signal " + name + ' ' + std::to_string(number));
+}
+
+void soak_environment::start(int number) {
+  send_command("start " + std::to_string(number));
+  instances_[static_cast<std::size_t>(number)].in_trouble = false;
 }
 
 void soak_environment::inject_database_fault(database& target) {
-  auto fault_duration = milliseconds(draw(random_, 200, 2500));
+  auto fault_duration = milliseconds(draw(fault_random_, 200, 2500));
+  stop_check_.on_shared_trouble(boot_time());
   auto id = target.server->entry().id.value;
   auto* server = target.server.get();
   auto* relay = target.relay.get();
-  switch (draw(random_, 0, 5)) {
+  switch (draw(fault_random_, 0, 5)) {
     case 0:
       faults_.push_back("silent " + id);
       server->silent = true;
@@ -273,7 +401,7 @@
       return relay->reset_all();
     case 2:
       faults_.push_back("slow " + id);
-      relay->delay = milliseconds(draw(random_, 20, 300));
+      relay->delay = milliseconds(draw(fault_random_, 20, 300));
       return call_later(fault_duration,
                         [relay] { relay->delay = duration{0}; });
     case 3:
@@ -288,25 +416,27 @@
       return relay->mute_open_connections();
     default:
       faults_.push_back("lost answers " + id);
-      server->answers_to_lose = static_cast<unsigned>(draw(random_, 1, 4));
+      server->answers_to_lose =
+          static_cast<unsigned>(draw(fault_random_, 1, 4));
   }
 }
 
 void soak_environment::inject_store_fault(int number) {
-  auto fault_duration = milliseconds(draw(random_, 200, 3000));
+  auto fault_duration = milliseconds(draw(fault_random_, 200, 3000));
   auto* relay = instances_[static_cast<std::size_t>(number)].store_relay.get();
   auto name = std::to_string(number);
-  switch (draw(random_, 0, 4)) {
+  switch (draw(fault_random_, 0, 4)) {
     case 0:
       faults_.push_back("store silent");
       store_.silent = true;
       return call_later(fault_duration, [this] { store_.silent = false; });
     case 1:
       faults_.push_back("store discards its history");
+      stop_check_.on_shared_trouble(boot_time());
       return store_.discard_history();
     case 2:
       faults_.push_back("store slow for " + name);
-      relay->delay = milliseconds(draw(random_, 50, 800));
+      relay->delay = milliseconds(draw(fault_random_, 50, 800));
       return call_later(fault_duration,
                         [relay] { relay->delay = duration{0}; });
     case 3:
@@ -327,11 +457,15 @@
   faults_.push_back("BROKEN " + violation);
 }
 
+void soak_environment::turn() {
+  previous_turn_ = loop_.now();
+  loop_.turn(milliseconds(20));
+}
+
+// Faults that have begun end at their planned times.
 void soak_environment::end_faults() {
   injecting_faults_ = false;
-  for (auto& scheduled : scheduled_calls_) scheduled.callback();
-  scheduled_calls_.clear();
-  store_.silent = false;
+  while (!scheduled_calls_.empty()) turn();
 }
 
 // Waits until reads and writes are served again.
@@ -341,7 +475,7 @@
     auto reads_before = served_reads_;
     auto acknowledged_before = acknowledged_number_;
     auto round_end = boot_time() + seconds(2);
-    while (boot_time() < round_end) loop_.turn(milliseconds(20));
+    while (boot_time() < round_end) turn();
     bool recovered = store_.calls() > 0 && served_reads_ > reads_before + 20 &&
                      acknowledged_number_ > acknowledged_before + 10;
     if (recovered) return true;
@@ -396,21 +530,41 @@
   std::cout << "report seed " << plan_.seed << ": " << acknowledged << " of "
             << outcomes_.size() << " writes and transactions acknowledged, "
             << served_reads_ << " reads, " << handled_failovers_
-            << " failovers, faults:";
+            << " failovers, " << stop_check_.calm_stops()
+            << " stops without other trouble, " << stop_check_.cut_count()
+            << " statements cut off, faults:";
   for (const auto& fault : faults_) std::cout << ' ' << fault << ';';
   std::cout << std::endl;
 }
 
+void soak_environment::check_cuts() {
+  auto work_on = [this](const std::string& id) {
+    stop_check::database_work out;
+    out.received = locations_.contains(id);
+    for (const auto& each : databases_) {
+      auto answered = each.server->answered().find(id);
+      if (answered == each.server->answered().end()) continue;
+      if (!out.answered_at || *out.answered_at < answered->second)
+        out.answered_at = answered->second;
+    }
+    return out;
+  };
+  for (const auto& violation : stop_check_.violations(work_on)) fail(violation);
+}
+
 bool soak_environment::run() {
+  next_fault_ = boot_time() + start_time;
+  unplanned_from_ = next_fault_ + seconds(plan_.planned_seconds);
+  auto end = unplanned_from_ + seconds(plan_.seconds);
   tick();
-  auto end = boot_time() + seconds(plan_.seconds);
-  while (boot_time() < end) loop_.turn(milliseconds(20));
+  while (boot_time() < end) turn();
   end_faults();
   bool recovered = wait_for_recovery();
   for (auto& caller : callers_) caller->stop();
   auto drained_at = boot_time() + seconds(3);
-  while (boot_time() < drained_at) loop_.turn(milliseconds(20));
+  while (boot_time() < drained_at) turn();
   check_outcomes();
+  check_cuts();
   bool passed =
       recovered && std::none_of(faults_.begin(), faults_.end(),
                                 [](const std::string& fault) {
--- a/test/soak/soak-environment.h
+++ b/test/soak/soak-environment.h
@@ -11,6 +11,7 @@
 #include "soak/fault-relay.h"
 #include "soak/soak-caller.h"
 #include "soak/soak-plan.h"
+#include "soak/stop-check.h"
 #include "standin/proxy/line-database.h"
 #include "standin/proxy/platform-stub.h"
 
@@ -41,6 +42,7 @@
     inet_address peer_address;
     std::unique_ptr<fault_relay> store_relay;
     instant settled_at;  ///< Time at which its last signal has taken effect.
+    bool in_trouble = false;  ///< Killed or paused.
   };
   struct scheduled_call {
     instant due_at;
@@ -57,21 +59,36 @@
   void replace_leader(database& former);
   void stop_former_leader(database& former);
   void inject_fault();
+  void inject_unplanned_fault();
+  void inject_planned_work();
   void inject_instance_fault(int number);
   void inject_database_fault(database& target);
   void inject_store_fault(int number);
+  void kill_instance(int number);
+  void pause_instance(int number);
+  void plan_stop(int number, duration delay);
+  void stop_instance(int number);
+  void hang_up(int number);
+  void change_keys();
+  void report_trouble();
   void call_later(duration delay, std::function<void()> callback);
   void send_command(const std::string& command);
+  void signal(const std::string& name, int number);
+  void start(int number);
+  void turn();
   void end_faults();
   bool wait_for_recovery();
   void fail(const std::string& violation);
   void check_outcomes();
   void check_transaction(const soak_outcome& outcome);
+  void check_cuts();
   std::string api_key() const;
 
   event_loop& loop_;
   soak_plan plan_;
   std::mt19937 random_;
+  std::mt19937 fault_random_;  ///< Drawn from in the order of the faults only.
+  stop_check stop_check_;
   standin::platform_stub store_;
   std::vector<database> databases_;
   std::vector<instance> instances_;
@@ -84,9 +101,12 @@
   std::map<std::string, unsigned> execution_counts_;
   /// Database and connection by statement id.
   std::map<std::string, std::string> locations_;
+  instant previous_turn_;  ///< Start of the turn before the current one.
   timer timer_;
   instant next_heartbeat_;
+  instant fault_time_;  ///< Planned time of the fault being injected.
   instant next_fault_;
+  instant unplanned_from_;  ///< Unplanned faults begin.
   unsigned config_version_ = 1;
   unsigned key_number_ = 1;
   std::uint64_t sequence_ = 0;
--- a/test/soak/soak-plan.h
+++ b/test/soak/soak-plan.h
@@ -10,7 +10,8 @@
 /// which the processes answer.
 struct soak_plan {
   std::uint32_t seed = 1;
-  int seconds = 20;
+  int planned_seconds = 8;  ///< Duration of planned work only, at first.
+  int seconds = 20;         ///< Duration of fault injection after it.
   int instances = 4;
   int caller_count = 24;
   /// A replaced leader keeps executing statements until it is promoted again or
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr std::size_t large_row_size = 262'144;
+
 std::string pop_word(std::string& rest) {
   auto word_end = rest.find(' ');
   auto word = rest.substr(0, word_end);
@@ -24,7 +26,8 @@
           std::uint64_t connection_number)
       : database_(database),
         stream_(database.loop_, *this),
-        connection_number_(connection_number) {
+        connection_number_(connection_number),
+        work_timer_([this] { finish_work(); }) {
     stream_.adopt(descriptor);
   }
 
@@ -33,6 +36,7 @@
     for (;;) {
       auto line_end = input.find("\r\n");
       if (line_end == std::string::npos || stream_.closed()) return;
+      if (work_timer_.armed()) return;
       auto line = input.substr(0, line_end);
       input.erase(0, line_end + 2);
       database_.received_lines_.push_back(std::to_string(connection_number_) +
@@ -42,6 +46,7 @@
   }
   void on_closed() override { end(); }
   void end() {
+    work_timer_.disarm();
     stream_.close();
     erase_deferred(database_.loop_, database_.sessions_, *this);
   }
@@ -72,6 +77,7 @@
   void query(const std::string& id, std::string rest) {
     auto text = rest;
     auto verb = pop_word(rest);
+    statement_id_ = id;
     if (verb == "AFTER") {
       auto position = pop_word(rest);
       auto required = std::stoull(position.substr(position.find('.') + 1));
@@ -128,9 +134,27 @@
     database_.executed_.push_back(id + ' ' + text);
     if (writes && transaction_state_ == 'I') ++database_.log_end;
     if (writes && transaction_state_ == 'T') has_uncommitted_writes_ = true;
-    answer("ROW " + shown_values() + "\r\n");
+    auto item = pop_word(rest);
+    if (item == "large") return answer(large_rows());
+    if (item != "slow" || database_.slow_work == duration{0})
+      return answer(shown_row());
+    database_.loop_.arm_in(work_timer_, database_.slow_work);
+  }
+
+  void finish_work() {
+    if (!database_.silent) answer(shown_row());
+    on_input();
   }
 
+  std::string large_rows() const {
+    std::string out;
+    for (unsigned i = 0; i < database_.large_rows; ++i)
+      out += "ROW " + std::string(large_row_size, 'x') + "\r\n";
+    return out;
+  }
+
+  std::string shown_row() const { return "ROW " + shown_values() + "\r\n"; }
+
   std::string shown_values() const {
     std::string out = "values";
     for (const auto& [name, value] : session_values_) {
@@ -166,6 +190,7 @@
   }
 
   void send(const std::string& rows) {
+    database_.answered_[statement_id_] = boot_time();
     stream_.send(rows + "DONE sig." + database_.id_ + "\r\n");
     ready();
   }
@@ -187,6 +212,8 @@
   line_database& database_;
   tcp_stream stream_;
   std::uint64_t connection_number_;
+  timer work_timer_;  ///< Armed while a slow statement runs.
+  std::string statement_id_;
   char transaction_state_ = 'I';
   bool has_uncommitted_writes_ = false;
   std::map<std::string, std::string> session_values_;
--- a/test/standin/proxy/line-database.h
+++ b/test/standin/proxy/line-database.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
   const std::vector<std::string>& received_lines() const {
     return received_lines_;
   }
+  /// Time of the last answer by statement id.
+  const std::map<std::string, instant>& answered() const { return answered_; }
   std::size_t connections() const { return sessions_.size(); }
   /// Sends the deferred answers and stops deferring.
   void send_deferred_answers();
@@ -52,6 +55,8 @@
   bool defer_begins = false;  ///< The same for the begins of transactions.
   /// Refuses every statement with this error code; empty refuses none.
   std::string error_code;
+  duration slow_work{0};    ///< Time that `FETCH slow` takes.
+  unsigned large_rows = 1;  ///< Rows of 256 KiB that `FETCH large` returns.
 
  private:
   class session;
@@ -66,6 +71,7 @@
   std::vector<std::function<void()>> deferred_answers_;
   std::vector<std::string> executed_;
   std::vector<std::string> received_lines_;
+  std::map<std::string, instant> answered_;
   tcp_listener listener_;
 };
 
