Size the soak's environment to the number of instances

With 100 instances most statements were refused: the databases allowed 40 connections for all of them, and 600 callers were more than the soak's thread serves. The allowed connections and the team's rate now grow with the instances (40 and 5000 per second up to four of them, as before), and at most 240 callers run. The short runs have 8 s of unplanned faults instead of 5 s, since the last planned restarts reach into them.

--- a/test/soak.sh
+++ b/test/soak.sh
@@ -5,4 +5,4 @@
 #       show that the check detects it
 set -euo pipefail
 cd "$(dirname "$0")/.."
-SKIP_BUILD=1 exec support/soak --seconds 5 --instances 3 7 102 104
+SKIP_BUILD=1 exec support/soak --seconds 8 --instances 3 7 102 104
--- a/test/soak/soak-environment.cc
+++ b/test/soak/soak-environment.cc
@@ -67,6 +67,8 @@
   out.server = std::make_unique<standin::line_database>(loop_, id, "ledger");
   out.server->slow_work = slow_work;
   out.server->large_rows = large_rows;
+  // Connections of killed instances and of restarts count too.
+  out.server->connection_limit = std::size_t{2} * max_connections() + 20;
   out.relay = std::make_unique<fault_relay>(loop_, out.server->entry().address);
   databases_.push_back(std::move(out));
 }
@@ -126,17 +128,24 @@
   return "key-" + std::to_string(key_number_);
 }
 
+unsigned soak_environment::max_connections() const {
+  return static_cast<unsigned>(std::max(40, plan_.instances * 10));
+}
+
 void soak_environment::write_config() {
+  auto rate = std::to_string(std::max(5000, plan_.instances * 1250));
   store_.put(
       "config", "main",
       "{\"version\":" + std::to_string(config_version_) +
           R"(,"routes":[{"host":"orders","kind":"primary","timeout_ms":)" +
           std::to_string(statement_timeout_ms) + R"(,
           "goal_ms":250,"priority":1,"service":"ledger","public":false}],
-          "services":[{"name":"ledger","max_conns":40,"sync_replicas":0}],
+          "services":[{"name":"ledger","max_conns":)" +
+          std::to_string(max_connections()) + R"(,"sync_replicas":0}],
           "limits":{"tx_idle_ms":3000},"tenants":[{"name":"glaziers",
           "api_keys":["key-0",")" +
-          api_key() + R"("],"rate_per_s":5000,"burst":5000}]})");
+          api_key() + R"("],"rate_per_s":)" + rate + R"(,"burst":)" + rate +
+          "}]}");
 }
 
 // A silent database writes no heartbeats either.
--- a/test/soak/soak-environment.h
+++ b/test/soak/soak-environment.h
@@ -83,6 +83,8 @@
   void check_transaction(const soak_outcome& outcome);
   void check_cuts();
   std::string api_key() const;
+  /// Connections that all instances together may have to a database.
+  unsigned max_connections() const;
 
   event_loop& loop_;
   soak_plan plan_;
--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <iostream>
 #include <string>
 
@@ -26,7 +27,7 @@
     plan.seconds = std::stoi(seconds);
     plan.instances = std::stoi(instances);
     plan.former_leaders_keep_running = plan.seed % 2 == 1;
-    plan.caller_count = plan.instances * 6;
+    plan.caller_count = std::min(plan.instances * 6, soak::max_callers);
     event_loop loop;
     soak::soak_environment environment(loop, plan);
     return environment.run() ? exit_code::ok : exit_code::failed;
--- a/test/soak/soak-plan.h
+++ b/test/soak/soak-plan.h
@@ -6,6 +6,9 @@
 
 namespace toucanmux::soak {
 
+/// More callers would be limited by the single thread of the soak.
+inline constexpr int max_callers = 240;
+
 /// Parameters of a soak run. The seed decides everything except the order in
 /// which the processes answer.
 struct soak_plan {
