--- a/test/soak/caller-socket.cc
+++ b/test/soak/caller-socket.cc
@@ -67,7 +67,7 @@
   getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) return end();
   connected_ = true;
-  loop_.modify(descriptor_, *this, false);
+  loop_.modify(descriptor_, *this, true, false);
   owner_.on_open();
 }
 
