Keep to the limit of relay sessions

Ended relay sessions are kept until their peer closes, so a session that was closed to make room for another one counted on, and each new connection ended one more. Found by reading; the limit has no test.

A session that makes room is dropped at once: nothing of it is unsent.

--- a/src/proxy/connections/relay-server.cc
+++ b/src/proxy/connections/relay-server.cc
@@ -50,6 +50,7 @@
   }
   if (!oldest || state_.loop.now() - oldest->used_at() < min_idle) return false;
   oldest->finish();
+  on_session_ended(*oldest);
   return true;
 }
 
