Give callers 15 s to read their answers

A caller that read nothing for 4 s lost the answers that waited for it: the kernel's limit for unacknowledged data counts a closed window too, and it is meant for peers that are gone.

Sessions of callers have a limit of 15 s. Connections to databases, to the store and between instances keep 4 s. No test: it would have to wait for the limit.

--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -26,7 +26,7 @@
       stream_(state.loop, *this),
       timer_([this] { on_timer(); }) {
   values = &values_;
-  stream_.adopt(descriptor);
+  stream_.adopt(descriptor, true);
   state_.loop.arm_in(timer_, open_timeout);
 }
 
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -17,6 +17,8 @@
 // The kernel closes a connection whose sent data stays unacknowledged this
 // long.
 constexpr int user_timeout_ms = 4000;
+// The kernel counts the time for which a peer has no room for data, too.
+constexpr int late_reader_timeout_ms = 15'000;
 // How long a peer may take to close a connection whose end was sent.
 constexpr duration close_timeout = std::chrono::seconds(1);
 constexpr std::size_t read_size = 16'384;
@@ -46,8 +48,11 @@
   return descriptor;
 }
 
-void tcp_stream::adopt(int descriptor) {
+void tcp_stream::adopt(int descriptor, bool reads_late) {
   set_options(descriptor);
+  if (reads_late)
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               late_reader_timeout_ms);
   descriptor_ = descriptor;
   connected_ = true;
   loop_.watch(descriptor_, *this, false);
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -35,7 +35,8 @@
   tcp_stream& operator=(tcp_stream&&) = delete;
 
   /// Takes ownership of an accepted socket.
-  void adopt(int descriptor);
+  /// @param reads_late the peer may read its answers seconds later.
+  void adopt(int descriptor, bool reads_late = false);
   /// Starts to connect; `on_open` or `on_closed` is called later.
   /// @return false if the attempt failed at once; nothing is called then.
   bool connect(const inet_address& to);
