Refuse all statements that a stop finds in a session

A session ended right behind a refusal. Statements that had arrived behind the refused one, but didn't fit in the same read, were discarded without an answer; so were those behind a statement that the end of the process gave up, and up to 1 MiB of them since input can be paused.

Before a session ends for a stop, input is read until none is left and everything in it is refused; the error of the close answers what is still on its way. Input resumes when a session ends, also if the caller waits for room to write.

Ruled out: leaving the close to the next look at idle sessions.

statements_behind_a_refused_one_are_refused failed before (5 of 6 answers) and passes.

--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -13,10 +13,16 @@
 }  // namespace
 
 void client_session::close_if_idle() {
-  if (ended_ || state_.loop.now() - answered_at_ < min_idle) return;
-  session_ptr keep(this);
-  if (can_close()) stream_.poll_input();
+  if (state_.loop.now() - answered_at_ < min_idle) return;
   if (is_sending() || !opened_ || !can_close()) return;
+  session_ptr keep(this);
+  stream_.poll_input();
+  if (can_close() && !is_sending()) finish_for_stop();
+}
+
+// The error answers a statement that is still on its way: input is discarded
+// from now on.
+void client_session::finish_for_stop() {
   wire::write_failure(stream_.output(), failure_kind::busy,
                       text_of(refusal_reason::instance_stops),
                       stop_retry_after);
@@ -44,8 +50,6 @@
 void client_session::give_up() {
   if (ended_) return;
   session_ptr keep(this);
-  stream_.poll_input();
-  if (ended_) return;
   if (running_ && statement_.deferred) {
     fail_statement(failure_kind::outcome_unknown,
                    refusal_reason::instance_stops);
@@ -56,7 +60,8 @@
   }
   // Statements behind it are refused.
   on_input();
-  finish();
+  stream_.poll_input();
+  if (!ended_) finish_for_stop();
 }
 
 void client_session::refuse_for_stop() {
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -64,6 +64,25 @@
   // the end of its session.
   bool caller_reads = stream_.unsent().empty();
   handling_input_ = true;
+  handle_lines();
+  // Statements that have arrived behind a refused one are refused, too.
+  bool closes = refused_for_stop_ && caller_reads;
+  if (closes && can_close()) {
+    stream_.poll_input();
+    handle_lines();
+  }
+  handling_input_ = false;
+  if (ended_) return;
+  if (closes && can_close()) return finish_for_stop();
+  bool is_full = stream_.unread().size() > max_unread;
+  stream_.pause_input(running_ && is_full);
+  if (running_ || !is_full) return;
+  wire::write_failure(stream_.output(), failure_kind::too_big,
+                      "line of more than 1 MiB", duration{0});
+  finish();
+}
+
+void client_session::handle_lines() {
   std::string& input = stream_.input();
   std::size_t consumed = 0;
   while (!ended_ && !running_) {
@@ -73,16 +92,7 @@
     consumed = line_end + 2;
     handle_line(line);
   }
-  handling_input_ = false;
-  if (ended_) return;
-  input.erase(0, consumed);
-  if (refused_for_stop_ && caller_reads && can_close()) return finish();
-  bool is_full = input.size() > max_unread;
-  stream_.pause_input(running_ && is_full);
-  if (running_ || !is_full) return;
-  wire::write_failure(stream_.output(), failure_kind::too_big,
-                      "line of more than 1 MiB", duration{0});
-  finish();
+  if (!ended_) input.erase(0, consumed);
 }
 
 void client_session::handle_line(std::string_view line) {
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -115,6 +115,7 @@
     duration retry_after{0};
   };
 
+  void handle_lines();
   void handle_line(std::string_view line);
   void handle_open(const wire::open_session& request);
   void handle_statement(const session_statement& statement);
@@ -163,6 +164,7 @@
   void fail_unanswered(refusal_reason reason);
   bool may_send() const;
   void refuse_for_stop();
+  void finish_for_stop();
   bool may_rerun() const;
   void retry_elsewhere(upstream_link& link, std::string_view reason);
   bool may_retry_read() const;
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -21,6 +21,8 @@
 constexpr int late_reader_timeout_ms = 15'000;
 // How long a peer may take to close a connection whose end was sent.
 constexpr duration close_timeout = std::chrono::seconds(1);
+// Bounds what a peer that sends without pause can have received in one turn.
+constexpr int max_polls = 64;
 constexpr std::size_t read_size = 16'384;
 // The memory of an empty buffer with more capacity than this is released.
 constexpr std::size_t max_idle_capacity = 8'192;
@@ -87,6 +89,7 @@
 void tcp_stream::finish() {
   if (closed() || finishing_) return;
   finishing_ = true;
+  pause_input(false);
   loop_.at_turn_end(*this);
 }
 
@@ -95,7 +98,6 @@
 void tcp_stream::send_end() {
   if (close_timer_.armed()) return;
   watch_writable(false);
-  pause_input(false);
   shutdown(descriptor_, SHUT_WR);
   loop_.arm_in(close_timer_, close_timeout);
 }
@@ -133,22 +135,26 @@
   if (!closed()) flush();
 }
 
-void tcp_stream::receive() {
+// Returns false if nothing was received.
+bool tcp_stream::receive() {
   std::array<char, read_size> bytes;  // NOLINT: filled by recv
   auto count = recv(descriptor_, bytes.data(), bytes.size(), 0);
-  if (count > 0 && finishing_) return;
+  if (count > 0 && finishing_) return true;
   if (count > 0) {
     input_.append(bytes.data(), static_cast<std::size_t>(count));
     owner_.on_input();
     if (input_.empty()) clear_buffer(input_);
-    return;
+    return true;
   }
-  if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
-  handle_disconnect();
+  bool would_block = count < 0 && (errno == EAGAIN || errno == EINTR);
+  if (!would_block) handle_disconnect();
+  return false;
 }
 
 void tcp_stream::poll_input() {
-  if (open()) receive();
+  for (int i = 0; i < max_polls && open() && !input_paused_; ++i) {
+    if (!receive()) return;
+  }
 }
 
 void tcp_stream::flush() {
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -70,7 +70,7 @@
  private:
   void finish_connect();
   void send_end();
-  void receive();
+  bool receive();
   void flush();
   void watch_writable(bool on);
   void handle_disconnect();
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -138,6 +138,33 @@
   BOOST_TEST(caller.received().find("ERR BUSY this instance stops") !=
              std::string::npos);
   BOOST_TEST(!caller.was_reset());
+  BOOST_TEST(caller.answers() == 1U);
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against a session that ends behind a refusal while more statements
+// have arrived: they don't fit in one read.
+BOOST_AUTO_TEST_CASE(statements_behind_a_refused_one_are_refused) {
+  run_until([&] { return ready(); });
+  slow_caller caller(settings.caller_address);
+  auto run_until_answered = [&](unsigned count) {
+    run_until([&] {
+      caller.receive();
+      return caller.answers() >= count || caller.ended();
+    });
+  };
+  caller.send("CONNECT orders key-1");
+  caller.send("QUERY 1 BEGIN");
+  caller.send("QUERY 2 PUT 1a4 x");
+  run_until_answered(3);
+  std::raise(SIGTERM);
+  run_for(settings.shutdown_timeout / 2 + 100ms);
+  const std::string rollback = "QUERY 3 ROLLBACK\r\n";
+  std::string refused = "QUERY 4 PUT 1a4 ";
+  refused += std::string(16'384 - 2 - rollback.size() - refused.size(), 'x');
+  caller.send(rollback + refused + "\r\nQUERY 5 PUT 1a4 x");
+  run_until_answered(6);
+  BOOST_TEST(caller.answers() == 6U);
   BOOST_TEST(first.log_end == 100U);
 }
 
