--- a/src/connection/stream-socket.cc
+++ b/src/connection/stream-socket.cc
@@ -122,7 +122,6 @@
 
 void stream_socket::abort() {
   if (state_ == state::ended) return;
-  discard();
   state_ = state::ended;
   socket_poller::local().remove(id_, descriptor_);
   close(descriptor_);
