Use one slow peer in all tests

Cause: slow_caller, in a header of the proxy's test library, and slow_peer, in the Qt test library, were the same TCP peer, which has a small receive buffer and reads only when told to.

Change: slow_peer serves both. It needs no Qt and belongs to both libraries; it connects to a server under test, or opens a connection whose other end is under test. Waiting in the Qt event loop moved to database-fixture, the lines of the protocol to planned-stop-test. The assertions stay; reset() is now was_reset(). An error of connect or send is thrown, and was_reset() also sees a reset behind the end of the stream, which recv doesn't report. Since ended() is also true after a reset, a_stop_sends_the_answers_that_a_slow_caller_awaits now also checks that there was none.

--- a/test/entry-thread-test.cc
+++ b/test/entry-thread-test.cc
@@ -67,8 +67,11 @@
   entry.adopt(caller.other_end());
   std::string requests;
   for (int i = 0; i < request_count; ++i) requests += request;
-  caller.write(requests);
-  wait_until([&] { return answered_count() == request_count; });
+  caller.send(requests);
+  wait_until([&] {
+    caller.send();
+    return answered_count() == request_count;
+  });
   entry.drain();
   wait_until([&] {
     caller.read();
--- a/test/http-connection-test.cc
+++ b/test/http-connection-test.cc
@@ -24,7 +24,7 @@
 /// A caller that takes its responses slowly, and its connection.
 struct slow_caller {
   void start_request() {
-    caller.write(request);
+    caller.send(request);
     wait_until([&] { return request_count == 1; });
   }
 
@@ -68,9 +68,9 @@
                         slow_caller) {
   start_response();
   connection.drain();
-  caller.read_to_end();
+  read_to_end(caller);
   BOOST_TEST(whole_response_received());
-  BOOST_TEST(!caller.reset());
+  BOOST_TEST(!caller.was_reset());
   caller.close();
   wait_until([&] { return closed; });
 }
@@ -83,7 +83,7 @@
   start_response();
   connection.drain();
   connection.release();
-  caller.read_to_end();
+  read_to_end(caller);
   BOOST_TEST(whole_response_received());
 }
 
@@ -93,7 +93,7 @@
   start_request();
   respond(true);
   connection.drain();
-  caller.read_to_end();
+  read_to_end(caller);
   BOOST_TEST(whole_response_received());
 }
 
@@ -101,7 +101,7 @@
 BOOST_FIXTURE_TEST_CASE(an_idle_timeout_delivers_the_response, slow_caller) {
   start_response();
   connection.enforce_timeouts(now() + limits.idle_timeout);
-  caller.read_to_end();
+  read_to_end(caller);
   BOOST_TEST(whole_response_received());
 }
 
@@ -113,7 +113,11 @@
   connection.drain();
   auto time = now();
   while (!caller.ended() && !whole_response_received()) {
-    caller.read_at_least(part_bytes);
+    auto wanted = caller.received().size() + part_bytes;
+    wait_until([&] {
+      caller.read();
+      return caller.ended() || caller.received().size() >= wanted;
+    });
     time += limits.send_timeout;
     connection.enforce_timeouts(time);
   }
@@ -139,7 +143,7 @@
 // side open.
 BOOST_FIXTURE_TEST_CASE(a_caller_that_does_not_close_is_closed, slow_caller) {
   connection.drain();
-  caller.read_to_end();
+  read_to_end(caller);
   BOOST_TEST(!closed);
   connection.enforce_timeouts(now() + limits.close_timeout);
   wait_until([&] { return closed; });
@@ -150,8 +154,8 @@
                         slow_caller) {
   start_request();
   respond(true);
-  caller.read_to_end();
-  caller.write(request);
+  read_to_end(caller);
+  caller.send(request);
   caller.finish();
   wait_until([&] { return closed; });
   BOOST_TEST(request_count == 1);
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -11,7 +11,7 @@
 #include "standin/proxy/busy-caller.h"
 #include "standin/proxy/process-fixture.h"
 #include "standin/proxy/session-fixture.h"
-#include "standin/proxy/slow-caller.h"
+#include "standin/slow-peer.h"
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
@@ -19,6 +19,21 @@
 
 namespace {
 
+/// A caller that reads its answers only when told to.
+struct slow_caller : slow_peer {
+  using slow_peer::slow_peer;
+
+  void send_line(const std::string& line) { send(line + "\r\n"); }
+  /// The number of complete answers so far, with that to CONNECT.
+  unsigned answers() const {
+    unsigned count = 0;
+    for (auto at = received().find("\r\nREADY "); at != std::string::npos;
+         at = received().find("\r\nREADY ", at + 1))
+      ++count;
+    return count + (received().starts_with("READY ") ? 1U : 0U);
+  }
+};
+
 struct stop_fixture : process_fixture {
   /// Turns the loop until the process stops; databases take a while to answer.
   void run_until_stopped() {
@@ -37,10 +52,10 @@
   /// buffers of the system.
   std::unique_ptr<slow_caller> request_large_answers(unsigned count) {
     auto caller = std::make_unique<slow_caller>(settings.caller_address);
-    caller->send("CONNECT orders key-1");
-    caller->send("QUERY 0 SET note " + std::string(1'000'000, 'x'));
+    caller->send_line("CONNECT orders key-1");
+    caller->send_line("QUERY 0 SET note " + std::string(1'000'000, 'x'));
     for (unsigned i = 1; i <= count; ++i)
-      caller->send("QUERY " + std::to_string(i) + " FETCH 1a4");
+      caller->send_line("QUERY " + std::to_string(i) + " FETCH 1a4");
     run_until([&] {
       caller->send();
       return caller->all_sent() && first.executed().size() == count;
@@ -113,10 +128,11 @@
   run_for(settings.shutdown_timeout / 2 + 500ms);
   BOOST_TEST(!loop.stopped());
   run_until([&] {
-    caller->receive();
+    caller->read();
     return loop.stopped() || caller->ended();
   });
   BOOST_TEST(caller->ended());
+  BOOST_TEST(!caller->was_reset());
   BOOST_TEST(caller->answers() == 14U);
 }
 
@@ -125,16 +141,16 @@
 BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_close_is_refused) {
   run_until([&] { return ready(); });
   slow_caller caller(settings.caller_address);
-  caller.send("CONNECT orders key-1");
+  caller.send_line("CONNECT orders key-1");
   run_for(100ms);
   std::raise(SIGTERM);
   run_until([&] {
-    caller.receive();
+    caller.read();
     return caller.ended();
   });
-  caller.send("QUERY 1 PUT 1a4 x");
+  caller.send_line("QUERY 1 PUT 1a4 x");
   run_for(100ms);
-  caller.receive();
+  caller.read();
   BOOST_TEST(caller.received().find("ERR BUSY this instance stops") !=
              std::string::npos);
   BOOST_TEST(!caller.was_reset());
@@ -149,20 +165,20 @@
   slow_caller caller(settings.caller_address);
   auto run_until_answered = [&](unsigned count) {
     run_until([&] {
-      caller.receive();
+      caller.read();
       return caller.answers() >= count || caller.ended();
     });
   };
-  caller.send("CONNECT orders key-1");
-  caller.send("QUERY 1 BEGIN");
-  caller.send("QUERY 2 PUT 1a4 x");
+  caller.send_line("CONNECT orders key-1");
+  caller.send_line("QUERY 1 BEGIN");
+  caller.send_line("QUERY 2 PUT 1a4 x");
   run_until_answered(3);
   std::raise(SIGTERM);
   run_for(settings.shutdown_timeout / 2 + 100ms);
   const std::string rollback = "QUERY 3 ROLLBACK\r\n";
   std::string refused = "QUERY 4 PUT 1a4 ";
   refused += std::string(16'384 - 2 - rollback.size() - refused.size(), 'x');
-  caller.send(rollback + refused + "\r\nQUERY 5 PUT 1a4 x");
+  caller.send_line(rollback + refused + "\r\nQUERY 5 PUT 1a4 x");
   run_until_answered(6);
   BOOST_TEST(caller.answers() == 6U);
   BOOST_TEST(first.log_end == 100U);
--- a/test/pool-thread-test.cc
+++ b/test/pool-thread-test.cc
@@ -55,7 +55,7 @@
     group_state state;
     state.hint.group = group_id(std::string(hint_bytes, 'g'));
     pool->update(state);
-    entry.write(make_frame(read_of("select 1")));
+    entry.send(make_frame(read_of("select 1")));
     pool->drain();
   }
 
@@ -78,7 +78,7 @@
     return idle;
   });
   pool.reset();
-  entry.read_to_end();
+  read_to_end(entry);
   auto ids = answered_ids(entry.received());
   BOOST_TEST_REQUIRE(ids.size() == 1U);
   BOOST_TEST(ids.front() == read_of("").id);
--- a/test/standin/database-fixture.cc
+++ b/test/standin/database-fixture.cc
@@ -6,6 +6,8 @@
 #include <QThread>
 #include <optional>
 
+#include "standin/slow-peer.h"
+
 namespace toucanmux::standin {
 
 namespace {
@@ -110,6 +112,13 @@
   }
 }
 
+void read_to_end(slow_peer& peer) {
+  wait_until([&] {
+    peer.read();
+    return peer.ended();
+  });
+}
+
 answer run(upstream_connection& connection, const statement& request,
            bool on_replica) {
   std::optional<answer> received;
--- a/test/standin/database-fixture.h
+++ b/test/standin/database-fixture.h
@@ -10,6 +10,8 @@
 
 namespace toucanmux::standin {
 
+class slow_peer;
+
 /// A group of three databases with db1 as primary, on loopback addresses of
 /// this process alone, and calls for tests that wait for each answer. The
 /// process needs a QCoreApplication.
@@ -38,6 +40,8 @@
 
 /// Processes events until `done` returns true.
 void wait_until(const std::function<bool()>& done);
+/// Reads until the other end has closed the connection.
+void read_to_end(slow_peer& peer);
 answer run(upstream_connection& connection, const statement& request,
            bool on_replica = false);
 query_result query(upstream_connection& connection, std::string_view sql);
