Check that a stop ends within its timeout

Cause: a_stop_counts_from_the_signal guards against a stop that outlasts its timeout, but only checked that an operation is refused at half of the timeout. The expected text is also that of the error that closes an idle session.

Change: a caller that reads nothing keeps the process running for as long as it may. No turn of the loop at or after the timeout, counted from the signal, may leave the process running; a turn that begins late on a busy machine doesn't matter. The statement is sent as the signal is handled, before idle sessions are closed, and its answer has to be complete.

--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -188,12 +188,26 @@
 // the signal was raised.
 BOOST_AUTO_TEST_CASE(a_stop_counts_from_the_signal) {
   run_until([&] { return ready(); });
+  // Takes no answers, so that the process runs for as long as it may.
+  auto slow = request_large_answers(12);
   auto caller = connect();
   std::raise(SIGTERM);
+  auto timeout_ends = boot_time() + settings.shutdown_timeout;
   std::this_thread::sleep_for(settings.shutdown_timeout / 2 + 10ms);
+  // Sent as the signal is handled, before the stop closes idle sessions.
+  caller->send("QUERY 1 PUT 1a4 x");
   loop.turn(0ms);
-  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"),
-                         "ERR BUSY this instance stops"));
+  auto answer = caller->read_answer();
+  BOOST_TEST(starts_with(answer, "ERR BUSY this instance stops"));
+  BOOST_TEST(answer.find("|READY ") != std::string::npos);
+  instant running_at;
+  while (!loop.stopped()) {
+    running_at = loop.now();
+    loop.turn(20ms);
+  }
+  // The first turn that begins after the timeout ends the process, however late
+  // it begins.
+  BOOST_TEST((running_at < timeout_ends));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
