Test that input behind a running statement is bounded

Cause: statements_behind_a_running_one_wait_for_it also passes if the session goes on reading, since nothing looks at what it holds meanwhile.

Change: a new test counts the statements of 1 MB that the connection of a caller takes behind a running one. 64 are far more than the session (1 MiB) and the system hold; without the pause, all are taken. It has no time limit: 1000 turns of the loop without room for a statement end the count.

--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "standin/proxy/session-fixture.h"
+#include "standin/slow-peer.h"
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
@@ -498,4 +499,27 @@
   BOOST_TEST(first.log_end == 104U);
 }
 
+// Guards against a session whose caller fills the memory of the process behind
+// a running statement.
+BOOST_AUTO_TEST_CASE(a_caller_behind_a_running_statement_has_to_wait) {
+  // Far more than the session and the system hold of a connection.
+  constexpr int many = 64;
+  slow_peer caller(address());
+  caller.send("CONNECT orders key-1\r\n");
+  first.defer_answers = true;
+  const auto statement =
+      "QUERY 1 PUT 1a4 " + std::string(1'000'000, 'x') + "\r\n";
+  int taken = 0;
+  auto send_one = [&] {
+    caller.send(statement);
+    for (int i = 0; i < 1000 && !caller.all_sent(); ++i) {
+      loop.turn(0ms);
+      caller.send();
+    }
+    return caller.all_sent();
+  };
+  while (taken < many && send_one()) ++taken;
+  BOOST_TEST(taken < many);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
