Give each test process a loopback address of its own

Cause: free_address released a port of the range for outgoing connections before the process under test bound it, so that another test's connection could take it: store-restore-test once got "Address already in use". A client whose connection failed at once waited without end, since nothing is called then.

Change: process_ip is an address that no other running process has, by its process id, and next_address counts ports below the range that the system chooses from. The databases of the other programs' tests use the same address. Clients count a connection that fails at once as closed.

The taken port itself was not reproduced.

--- a/test/late-turn-test.cc
+++ b/test/late-turn-test.cc
@@ -7,7 +7,7 @@
 #include <thread>
 
 #include "proxy/peer-service.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 #include "standin/proxy/session-fixture.h"
 #include "toucanmux/codec.h"
 #include "toucanmux/process/datagram.h"
@@ -65,7 +65,7 @@
 class late_exchange {
  public:
   explicit late_exchange(session_fixture& fixture) : fixture_(fixture) {
-    fixture.state.settings.peer_address = free_address(fixture.loop);
+    fixture.state.settings.peer_address = next_address();
     service_.emplace(fixture.state, peer_service::handlers{
                                         [] {}, [](const upstream_update&) {}});
   }
@@ -73,7 +73,7 @@
   template <class Message>
   peer_frame exchange(Message message) {
     std::optional<peer_frame> answer;
-    udp_port port(fixture_.loop, free_address(fixture_.loop),
+    udp_port port(fixture_.loop, next_address(),
                   [&](std::span<const char> bytes, const inet_address&) {
                     auto envelope = unpack_datagram(bytes);
                     answer = decode<peer_frame>(envelope.payload);
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -325,7 +325,7 @@
                         standin::process_fixture) {
   run_until([&] { return ready(); });
   std::map<std::string, bool> carried;
-  auto address = standin::free_address(loop);
+  auto address = standin::next_address();
   udp_port observer(
       loop, address, [&](std::span<const char> bytes, const auto&) {
         auto envelope = unpack_datagram(bytes);
--- a/test/proxy-process-test.cc
+++ b/test/proxy-process-test.cc
@@ -8,9 +8,9 @@
 #include <string>
 
 #include "proxy/udp-port.h"
+#include "standin/process-address.h"
 #include "standin/proxy/line-client.h"
 #include "standin/proxy/line-database.h"
-#include "standin/proxy/loopback.h"
 #include "standin/proxy/platform-stub.h"
 #include "standin/proxy/process-fixture.h"
 
@@ -94,7 +94,7 @@
   BOOST_TEST(store.writes() == initial_writes);
   // A record with another address is replaced.
   process.reset();
-  settings.peer_address = free_address(loop);
+  settings.peer_address = next_address();
   process = std::make_unique<proxy_process>(loop, settings, "");
   process->start();
   run_until([&] {
@@ -314,7 +314,7 @@
   process.reset();
   settings.pressure = true;
   settings.cpu_millicores = 100;
-  settings.relay_address = free_address(loop);
+  settings.relay_address = next_address();
   process = std::make_unique<proxy_process>(loop, settings, "");
   process->start();
   // Instances of a deployment differ by their address, not by their ports.
@@ -322,9 +322,9 @@
   other.settings = settings;
   other.settings.self = member_id("edge-2");
   other.settings.ip = other.settings.peer_address.ip =
-      other.settings.relay_address.ip = loopback + 1;
-  other.settings.caller_address = free_address(loop);
-  other.settings.readiness_address = free_address(loop);
+      other.settings.relay_address.ip = process_ip() + 1;
+  other.settings.caller_address = next_address();
+  other.settings.readiness_address = next_address();
   other.process = std::make_unique<proxy_process>(loop, other.settings, "");
   other.process->start();
   run_until([&] { return ready() && ready(other); });
@@ -353,7 +353,7 @@
   run_until([&] { return ready(); });
   auto caller = connect();
   std::mt19937 random(9);
-  udp_port noisy(loop, {loopback, 0}, [](auto, const auto&) {});
+  udp_port noisy(loop, {process_ip(), 0}, [](auto, const auto&) {});
   for (int i = 0; i < 200; ++i) {
     std::string noise(random() % 600, '\0');
     for (char& c : noise) c = static_cast<char>(random());
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -5,7 +5,7 @@
 
 #include "proxy/connections/connection-sharing.h"
 #include "proxy/connections/relay-server.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 #include "standin/proxy/session-fixture.h"
 
 using namespace toucanmux;
@@ -60,7 +60,8 @@
     // Connections of probes would count as those of statements.
     group().set_probe_mode(upstream_group::probe_mode::none);
     created->set_probe_mode(upstream_group::probe_mode::none);
-    server = std::make_unique<relay_server>(owner, inet_address{loopback, 0});
+    server =
+        std::make_unique<relay_server>(owner, inet_address{process_ip(), 0});
     use_owner(server->address());
   }
 
@@ -104,7 +105,7 @@
 class frozen_owner final : public stream_owner {
  public:
   explicit frozen_owner(event_loop& loop)
-      : loop_(loop), listener(loop, {loopback, 0}, [this](int descriptor) {
+      : loop_(loop), listener(loop, {process_ip(), 0}, [this](int descriptor) {
           streams_.push_back(std::make_unique<tcp_stream>(loop_, *this));
           streams_.back()->adopt(descriptor);
           streams_.back()->send("READY I -\r\n");
@@ -272,7 +273,7 @@
 BOOST_AUTO_TEST_CASE(
     a_database_that_the_owner_does_not_reach_is_used_directly) {
   auto unreachable = first.entry();
-  unreachable.address = free_address(loop);
+  unreachable.address = next_address();
   unreachable.born_ms = 2;
   owner_group().set_entry(unreachable);
   auto caller = connect("orders");
@@ -328,7 +329,7 @@
   connection_sharing other_view(loop, owner.log, owner.settings.self,
                                 domain_id("a"));
   other_view.set_instances(
-      {{{state.settings.self, domain_id("a"), 100}, free_address(loop)}});
+      {{{state.settings.self, domain_id("a"), 100}, next_address()}});
   owner_group().set_sharing(&other_view);
   auto caller = connect("orders");
   BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"), "ROW"));
--- a/test/soak/fault-relay.cc
+++ b/test/soak/fault-relay.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "proxy/erase-deferred.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 
 namespace toucanmux::soak {
 
@@ -86,7 +86,7 @@
 fault_relay::fault_relay(event_loop& loop, const inet_address& target)
     : loop_(loop),
       target_(target),
-      listener_(loop, {standin::loopback, 0},
+      listener_(loop, {standin::process_ip(), 0},
                 [this](int descriptor) { accept(descriptor); }) {}
 
 fault_relay::~fault_relay() = default;
--- a/test/soak/soak-environment.cc
+++ b/test/soak/soak-environment.cc
@@ -5,7 +5,7 @@
 #include <fstream>
 #include <iostream>
 
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 
 namespace toucanmux::soak {
 
@@ -75,9 +75,9 @@
 
 void soak_environment::add_instance(int number) {
   instance out;
-  out.client_address = standin::free_address(loop_);
-  out.readiness_address = standin::free_address(loop_);
-  out.peer_address = standin::free_address(loop_);
+  out.client_address = standin::next_address();
+  out.readiness_address = standin::next_address();
+  out.peer_address = standin::next_address();
   out.store_relay = std::make_unique<fault_relay>(loop_, store_.address());
   auto name = std::to_string(number);
   std::ofstream file(plan_.folder + "/instance-" + name + ".toml");
--- a/test/standin/database-fixture.cc
+++ b/test/standin/database-fixture.cc
@@ -1,11 +1,10 @@
 #include "standin/database-fixture.h"
 
-#include <unistd.h>
-
 #include <QCoreApplication>
 #include <QThread>
 #include <optional>
 
+#include "standin/process-address.h"
 #include "standin/slow-peer.h"
 
 namespace toucanmux::standin {
@@ -14,13 +13,9 @@
 
 constexpr std::uint16_t first_port = 15501;
 
-/// A loopback address derived from the process id, so that tests that run
-/// concurrently use different ones.
-std::string own_address() {
-  auto id = static_cast<unsigned>(getpid());
-  return "127." + std::to_string(64 + (id >> 15U) % 128) + "." +
-         std::to_string((id >> 7U) & 0xffU) + "." +
-         std::to_string(1 + (id & 0x7fU));
+std::string own_ip() {
+  auto address = to_text({process_ip(), first_port});
+  return address.substr(0, address.find(':'));
 }
 
 }  // namespace
@@ -34,7 +29,7 @@
     database each;
     each.id = database_id("db" + std::to_string(i + 1));
     each.domain = domain_id("domain" + std::to_string(i + 1));
-    each.address = own_address();
+    each.address = own_ip();
     each.port = first_port + i;
     each.slots = 3;
     each.connection_limit = 50;
--- a/test/standin/proxy/busy-caller.h
+++ b/test/standin/proxy/busy-caller.h
@@ -13,7 +13,7 @@
  public:
   busy_caller(event_loop& loop, const inet_address& server, bool transaction)
       : stream_(loop, *this), transaction_(transaction) {
-    stream_.connect(server);
+    closed_ = !stream_.connect(server);
   }
 
   unsigned answered() const { return answered_; }
--- a/test/standin/proxy/line-client.h
+++ b/test/standin/proxy/line-client.h
@@ -12,7 +12,7 @@
  public:
   line_client(event_loop& loop, const inet_address& server)
       : loop_(loop), stream_(loop, *this) {
-    stream_.connect(server);
+    closed_ = !stream_.connect(server);
   }
 
   void send(const std::string& line) {
--- a/test/standin/proxy/line-database.cc
+++ b/test/standin/proxy/line-database.cc
@@ -3,7 +3,7 @@
 #include <map>
 
 #include "proxy/erase-deferred.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 
 namespace toucanmux::standin {
 
@@ -225,7 +225,7 @@
     : loop_(loop),
       id_(std::move(id)),
       group_(std::move(group)),
-      listener_(loop, {loopback, 0},
+      listener_(loop, {process_ip(), 0},
                 [this](int descriptor) { accept(descriptor); }) {}
 
 line_database::~line_database() = default;
--- a/test/standin/proxy/platform-stub.cc
+++ b/test/standin/proxy/platform-stub.cc
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "proxy/erase-deferred.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 
 namespace toucanmux::standin {
 
@@ -173,7 +173,7 @@
 };
 
 platform_stub::platform_stub(event_loop& loop)
-    : loop_(loop), listener_(loop, {loopback, 0}, [this](int descriptor) {
+    : loop_(loop), listener_(loop, {process_ip(), 0}, [this](int descriptor) {
         sessions_.push_back(std::make_unique<session>(*this, descriptor));
       }) {
   // Instances have used the store before.
--- a/test/standin/proxy/process-fixture.h
+++ b/test/standin/proxy/process-fixture.h
@@ -4,9 +4,9 @@
 #include <string>
 
 #include "proxy/proxy-process.h"
+#include "standin/process-address.h"
 #include "standin/proxy/line-client.h"
 #include "standin/proxy/line-database.h"
-#include "standin/proxy/loopback.h"
 #include "standin/proxy/platform-stub.h"
 
 namespace toucanmux::standin {
@@ -35,10 +35,10 @@
     first.is_primary = true;
     settings.self = member_id("edge-1");
     settings.domain = domain_id("a");
-    settings.caller_address = free_address(loop);
-    settings.readiness_address = free_address(loop);
-    settings.peer_address = free_address(loop);
-    settings.ip = loopback;
+    settings.caller_address = next_address();
+    settings.readiness_address = next_address();
+    settings.peer_address = next_address();
+    settings.ip = process_ip();
     settings.store_address = settings.failover_address = store.address();
     settings.heartbeat_interval = std::chrono::milliseconds(400);
     settings.revocation_timeout = std::chrono::milliseconds(3500);
@@ -74,9 +74,9 @@
     instance out;
     out.settings = settings;
     out.settings.self = member_id("edge-2");
-    out.settings.caller_address = free_address(loop);
-    out.settings.readiness_address = free_address(loop);
-    out.settings.peer_address = free_address(loop);
+    out.settings.caller_address = next_address();
+    out.settings.readiness_address = next_address();
+    out.settings.peer_address = next_address();
     out.settings.store_address = out.settings.failover_address = store_address;
     out.process = std::make_unique<proxy_process>(loop, out.settings, "");
     out.process->start();
--- a/test/standin/proxy/session-fixture.cc
+++ b/test/standin/proxy/session-fixture.cc
@@ -1,7 +1,7 @@
 #include "standin/proxy/session-fixture.h"
 
 #include "proxy/erase-deferred.h"
-#include "standin/proxy/loopback.h"
+#include "standin/process-address.h"
 #include "toucanmux/hash.h"
 
 namespace toucanmux::standin {
@@ -55,7 +55,7 @@
   state.confirmation.confirm(loop.now());
   renew_leases();
   listener_ = std::make_unique<tcp_listener>(
-      loop, inet_address{loopback, 0}, [this](int descriptor) {
+      loop, inet_address{process_ip(), 0}, [this](int descriptor) {
         sessions_.emplace_back(new client_session(state, *this, descriptor));
       });
 }
