Give up the slow entries of a stopping pool together

Callers see: toucanmux-pool may be killed before it has sent its last answers.

Cause: the check whether all answers are sent ended at the first link with an unsent one.

Change: all links and threads are checked.

--- a/src/process/pool-process.cc
+++ b/src/process/pool-process.cc
@@ -117,7 +117,7 @@
 bool pool_process::idle() {
   bool idle = true;
   for (auto& one : threads_) {
-    one->thread.run([&] { idle = idle && one->state->idle(now()); });
+    one->thread.run([&] { idle = one->state->idle(now()) && idle; });
   }
   return idle;
 }
--- a/src/process/pool-thread.cc
+++ b/src/process/pool-thread.cc
@@ -88,10 +88,11 @@
   for (const auto& [id, worker] : workers_) {
     if (!worker->idle()) return false;
   }
-  for (const auto& [id, one] : links_) {
-    if (!one->all_sent(current_time)) return false;
-  }
-  return true;
+  // The first check of a link starts its timeout.
+  bool all_sent = true;
+  for (const auto& [id, one] : links_)
+    all_sent = one->all_sent(current_time) && all_sent;
+  return all_sent;
 }
 
 void pool_thread::handle_message(std::uint64_t link, link_message&& message) {
--- a/test/pool-thread-test.cc
+++ b/test/pool-thread-test.cc
@@ -2,6 +2,7 @@
 #include "process/pool-thread.h"
 
 #include <QCoreApplication>
+#include <QThread>
 #include <QtEndian>
 #include <boost/test/unit_test.hpp>
 
@@ -84,6 +85,23 @@
   BOOST_TEST(ids.front() == read_of("").id);
 }
 
+// Guards against a time limit for each of several slow entries in turn, which
+// together outlast the stop of the pool.
+BOOST_FIXTURE_TEST_CASE(entries_that_take_nothing_are_given_up_together,
+                        pool_fixture) {
+  slow_peer other;
+  pool->adopt(other.other_end());
+  other.send(make_frame(read_of("select 1")));
+  auto time = now();
+  for (int i = 0; i < 100; ++i) {
+    QCoreApplication::processEvents();
+    pool->idle(time);
+    QThread::msleep(1);
+  }
+  BOOST_TEST(!pool->idle(time));
+  BOOST_TEST(pool->idle(time + default_send_timeout));
+}
+
 // Guards against entries that keep a stopping pool running by taking no bytes.
 BOOST_FIXTURE_TEST_CASE(an_entry_that_takes_nothing_does_not_keep_a_pool,
                         pool_fixture) {
