Log answers that are lost with their connection

Operators see: nothing, if an answer is lost because the connection to its caller fails; the gauge answers_cut rises only when the process ends, so it can't be read.

Cause: a session looked for unsent bytes when it was destroyed. By then the stream is closed and its output cleared, but at the end of the process.

Change: the stream keeps the number of bytes that it discards with a connection.

--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -31,11 +31,12 @@
 }
 
 client_session::~client_session() {
-  if (stream_.closed() || stream_.output().empty()) return;
+  auto unsent = stream_.unsent().size() + stream_.discarded();
+  if (unsent == 0) return;
   ++state_.answers_cut;
   state_.log.write(journal_kind::process, "answer_cut",
                    {{"request", last_statement_id_},
-                    {"unsent_bytes", std::uint64_t{stream_.output().size()}},
+                    {"unsent_bytes", std::uint64_t{unsent}},
                     {"since_answer_ms", state_.loop.now() - answered_at_},
                     {"stopping", state_.stopping}});
 }
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -184,6 +184,7 @@
 }
 
 void tcp_stream::handle_disconnect() {
+  discarded_ = output_.size();
   close();
   owner_.on_closed();
 }
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -46,6 +46,9 @@
   /// them.
   std::string& output() { return output_; }
   std::string_view unsent() const { return output_; }
+  /// The number of queued bytes that were discarded when the connection failed
+  /// or the peer closed it.
+  std::size_t discarded() const { return discarded_; }
   void schedule_flush();
   /// The bytes received and not yet consumed.
   std::string& input() { return input_; }
@@ -82,6 +85,7 @@
   bool watching_writable_ = false;
   bool input_paused_ = false;
   bool finishing_ = false;
+  std::size_t discarded_ = 0;
   timer close_timer_;
   std::string input_;
   std::string output_;
