Close a session at a stop once its answers are acknowledged

Callers see: one that is behind on reading sends a statement, which is discarded; its session ends up to a second later. If it sends more after that, the reset of the connection destroys the answers that it has yet to read.

Cause: work counted as done when its answer had been passed to the system, which holds megabytes for a caller that reads slowly. The session looked idle, and a stop closed it with the answers still there.

Change: a stop looks at what the caller's system has acknowledged, too. Until then the session refuses statements with whole answers. toucanmux-entry, which measured the same, shares the function.

--- a/src/connection/stream-socket.cc
+++ b/src/connection/stream-socket.cc
@@ -4,7 +4,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +13,7 @@
 #include <utility>
 
 #include "connection/socket-poller.h"
+#include "connection/unacknowledged.h"
 
 namespace toucanmux {
 
@@ -112,12 +112,8 @@
 
 std::size_t stream_socket::undelivered() const {
   if (state_ == state::ended) return 0;
-  int in_kernel = 0;
-  if (ioctl(descriptor_, TIOCOUTQ, &in_kernel) != 0) in_kernel = 0;
-  // The kernel counts the end of the stream as a byte.
-  bool counts_end = finish_requested_ && output_.empty() && in_kernel > 0;
-  if (counts_end) --in_kernel;
-  return output_.size() + static_cast<std::size_t>(in_kernel);
+  bool end_sent = finish_requested_ && output_.empty();
+  return output_.size() + unacknowledged_bytes(descriptor_, end_sent);
 }
 
 void stream_socket::abort() {
--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -29,6 +29,11 @@
   finish();
 }
 
+void client_session::finish_when_delivered() {
+  if (stream_.unacknowledged() == 0) return finish_for_stop();
+  state_.loop.arm_in(timer_, min_idle);
+}
+
 bool client_session::may_send() const {
   return state_.stop.accepts_statement(state_.loop.now(), statement_.deadline);
 }
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -74,7 +74,7 @@
   }
   handling_input_ = false;
   if (ended_) return;
-  if (closes && can_close()) return finish_for_stop();
+  if (closes && can_close()) return finish_when_delivered();
   bool is_full = stream_.unread().size() > max_unread;
   stream_.pause_input(running_ && is_full);
   if (running_ || !is_full) return;
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -48,9 +48,11 @@
     return !running_ && transaction_phase_ == phase::none &&
            stream_.unread().empty();
   }
-  /// True while an answer is being sent, or the session has ended and its
-  /// connection has not.
-  bool is_sending() const { return ended_ || !stream_.unsent().empty(); }
+  /// True until the caller's system has all answers, and until the connection
+  /// of an ended session is closed.
+  bool is_sending() const {
+    return ended_ || !stream_.unsent().empty() || stream_.unacknowledged() > 0;
+  }
   bool running() const { return running_; }
   bool in_transaction() const { return transaction_phase_ != phase::none; }
   /// Closes the session if it can be closed, unless the caller may have sent a
@@ -165,6 +167,7 @@
   bool may_send() const;
   void refuse_for_stop();
   void finish_for_stop();
+  void finish_when_delivered();
   bool may_rerun() const;
   void retry_elsewhere(upstream_link& link, std::string_view reason);
   bool may_retry_read() const;
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 
+#include "connection/unacknowledged.h"
 #include "proxy/socket-address.h"
 
 namespace toucanmux {
@@ -86,6 +87,10 @@
   if (connected_ && !watching_writable_) loop_.at_turn_end(*this);
 }
 
+std::size_t tcp_stream::unacknowledged() const {
+  return open() ? unacknowledged_bytes(descriptor_, close_timer_.armed()) : 0;
+}
+
 void tcp_stream::finish() {
   if (closed() || finishing_) return;
   finishing_ = true;
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -46,6 +46,8 @@
   /// them.
   std::string& output() { return output_; }
   std::string_view unsent() const { return output_; }
+  /// The number of sent bytes that the peer's system has not acknowledged.
+  std::size_t unacknowledged() const;
   /// The number of queued bytes that were discarded when the connection failed
   /// or the peer closed it.
   std::size_t discarded() const { return discarded_; }
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -19,8 +19,9 @@
 
 namespace {
 
-// Rows of 256 KiB, in an answer larger than the buffers of the system.
+// Rows of 256 KiB: answers larger than the buffers of the system, and smaller.
 constexpr unsigned beyond_buffers = 24;
+constexpr unsigned within_buffers = 1;
 
 struct stop_fixture : process_fixture {
   /// Turns the loop until the process stops; databases take a while to answer.
@@ -123,6 +124,24 @@
   BOOST_TEST(caller->answers() == 2U);
 }
 
+// Guards against a stop that ends a session, and discards its next statement,
+// while the caller has yet to read answers that the system holds for it.
+BOOST_AUTO_TEST_CASE(a_statement_of_a_caller_behind_on_reading_is_refused) {
+  run_until([&] { return ready(); });
+  auto caller = request_large_answer(within_buffers);
+  std::raise(SIGTERM);
+  run_for(settings.shutdown_timeout / 2 + 500ms);
+  caller->send_line("QUERY 9 PUT 1a4 x");
+  run_for(100ms);
+  run_until([&] {
+    caller->read();
+    return loop.stopped() || caller->ended();
+  });
+  BOOST_TEST(caller->ended());
+  BOOST_TEST(caller->answers() == 3U);
+  BOOST_TEST(first.log_end == 100U);
+}
+
 // Guards against answers that are lost without a trace: their caller's
 // connection failed.
 BOOST_AUTO_TEST_CASE(answers_lost_with_their_connection_are_counted) {
