Let statements wait for callers that don't read

Callers see: one that sends many statements and reads slowly loses answers when its instance stops, since more of them have been passed on to databases than can be delivered in time. Operators see the memory of an instance grow with what a single caller doesn't read.

Cause: a session started the next statement whatever waited in its output.

Change: while 64 KiB of answers wait in the process, the next statements wait, too, and no input is read. They go on as the caller takes its answers, and are refused when the instance gives up its work.

--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -11,6 +11,10 @@
 // Bounds the memory for a session's unread input.
 constexpr std::size_t max_unread = wire::max_line_size + 64;
 
+// Bounds the memory for answers that the caller has yet to take, together with
+// the size of one answer.
+constexpr std::size_t max_unsent = 65'536;
+
 // A session that has not sent its opening message by then is closed.
 constexpr duration open_timeout = std::chrono::seconds(10);
 
@@ -76,19 +80,33 @@
   if (ended_) return;
   if (closes && can_close()) return finish_when_delivered();
   bool is_full = stream_.unread().size() > max_unread;
-  stream_.pause_input(running_ && is_full);
-  if (running_ || !is_full) return;
+  stream_.pause_input(waits_for_caller_ || (running_ && is_full));
+  if (running_ || waits_for_caller_ || !is_full) return;
   wire::write_failure(stream_.output(), failure_kind::too_big,
                       "line of more than 1 MiB", duration{0});
   finish();
 }
 
+void client_session::on_sent() {
+  if (!waits_for_caller_ || !may_answer()) return;
+  state_.loop.defer([keep = session_ptr(this)] { keep->on_input(); });
+}
+
+// What has arrived when an instance gives up its work is refused.
+bool client_session::may_answer() const {
+  return stream_.unsent().size() < max_unsent ||
+         state_.stop.over(state_.loop.now());
+}
+
 void client_session::handle_lines() {
   std::string& input = stream_.input();
   std::size_t consumed = 0;
+  waits_for_caller_ = false;
   while (!ended_ && !running_) {
     auto line_end = input.find("\r\n", consumed);
     if (line_end == std::string::npos) break;
+    waits_for_caller_ = !may_answer();
+    if (waits_for_caller_) break;
     std::string_view line(input.data() + consumed, line_end - consumed);
     consumed = line_end + 2;
     handle_line(line);
--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -69,6 +69,7 @@
   void finish();
 
   void on_input() override;
+  void on_sent() override;
   void on_closed() override;
   void on_link(upstream_link& link) override;
   void on_refused(refusal_reason reason, duration expected_wait) override;
@@ -117,6 +118,7 @@
     duration retry_after{0};
   };
 
+  bool may_answer() const;
   void handle_lines();
   void handle_line(std::string_view line);
   void handle_open(const wire::open_session& request);
@@ -192,6 +194,7 @@
   bool opened_ = false;
   bool ended_ = false;
   bool handling_input_ = false;
+  bool waits_for_caller_ = false;  ///< To take answers; statements wait, too.
   bool refused_for_stop_ = false;  ///< An operation; the session ends.
   instant answered_at_;
   std::string database_;
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -164,9 +164,11 @@
 
 void tcp_stream::flush() {
   if (!connected_) return;
+  bool sent = false;
   if (!output_.empty()) {
     auto count =
         ::send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+    sent = count > 0;
     if (count < 0 && errno != EAGAIN && errno != EINTR)
       return handle_disconnect();
     if (count > 0) output_.erase(0, static_cast<std::size_t>(count));
@@ -174,6 +176,7 @@
   if (output_.empty()) clear_buffer(output_);
   if (output_.empty() && finishing_) return send_end();
   watch_writable(!output_.empty());
+  if (sent) owner_.on_sent();
 }
 
 void tcp_stream::watch_writable(bool on) {
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -16,6 +16,8 @@
   virtual void on_open() {}
   /// New bytes were appended to `input()`; the owner removes those it consumed.
   virtual void on_input() = 0;
+  /// Queued bytes were passed to the system.
+  virtual void on_sent() {}
   /// The connection has ended: the peer closed it, it failed, or `finish` is
   /// complete. Called at most once per connection.
   virtual void on_closed() = 0;
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "standin/proxy/session-fixture.h"
-#include "standin/slow-peer.h"
+#include "standin/proxy/slow-caller.h"
 
 using namespace toucanmux;
 using namespace toucanmux::standin;
@@ -482,6 +482,24 @@
   BOOST_TEST(max_connections <= 4U);
 }
 
+// Guards against statements that run although their caller takes no answers,
+// which the instance then has to hold.
+BOOST_AUTO_TEST_CASE(statements_wait_until_earlier_answers_are_taken) {
+  constexpr unsigned statements = 60;
+  slow_caller caller(address());
+  caller.send_line("CONNECT orders key-1");
+  for (unsigned i = 0; i < statements; ++i)
+    caller.send_line("QUERY " + std::to_string(i) + " FETCH large");
+  run_for(1s);
+  BOOST_TEST(first.executed().size() < statements / 2);
+  auto end = boot_time() + 20s;
+  while (caller.answers() < statements + 1 && boot_time() < end) {
+    caller.read();
+    loop.turn(5ms);
+  }
+  BOOST_TEST(caller.answers() == statements + 1);
+}
+
 // Guards against a session that ends while its statement runs, since the
 // statements behind it are longer than the buffer for them.
 BOOST_AUTO_TEST_CASE(statements_behind_a_running_one_wait_for_it) {
