--- a/src/proxy/client-session.h
+++ b/src/proxy/client-session.h
@@ -48,9 +48,11 @@
     return !running_ && transaction_phase_ == phase::none &&
            stream_.unread().empty();
   }
-  /// True while an answer is being sent, or the session has ended and its
-  /// connection has not.
-  bool is_sending() const { return ended_ || !stream_.unsent().empty(); }
+  /// True until the caller's system has all answers, and until the connection
+  /// of an ended session is closed.
+  bool is_sending() const {
+    return ended_ || !stream_.unsent().empty() || stream_.unacknowledged() > 0;
+  }
   bool running() const { return running_; }
   bool in_transaction() const { return transaction_phase_ != phase::none; }
   /// Closes the session if it can be closed, unless the caller may have sent a
@@ -67,6 +69,7 @@
   void finish();
 
   void on_input() override;
+  void on_sent() override;
   void on_closed() override;
   void on_link(upstream_link& link) override;
   void on_refused(refusal_reason reason, duration expected_wait) override;
@@ -115,6 +118,7 @@
     duration retry_after{0};
   };
 
+  bool may_answer() const;
   void handle_lines();
   void handle_line(std::string_view line);
   void handle_open(const wire::open_session& request);
@@ -165,6 +169,7 @@
   bool may_send() const;
   void refuse_for_stop();
   void finish_for_stop();
+  void finish_when_delivered();
   bool may_rerun() const;
   void retry_elsewhere(upstream_link& link, std::string_view reason);
   bool may_retry_read() const;
@@ -189,6 +194,7 @@
   bool opened_ = false;
   bool ended_ = false;
   bool handling_input_ = false;
+  bool waits_for_caller_ = false;  ///< To take answers; statements wait, too.
   bool refused_for_stop_ = false;  ///< An operation; the session ends.
   instant answered_at_;
   std::string database_;
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 
+#include "connection/unacknowledged.h"
 #include "proxy/socket-address.h"
 
 namespace toucanmux {
@@ -86,6 +87,10 @@
   if (connected_ && !watching_writable_) loop_.at_turn_end(*this);
 }
 
+std::size_t tcp_stream::unacknowledged() const {
+  return open() ? unacknowledged_bytes(descriptor_, close_timer_.armed()) : 0;
+}
+
 void tcp_stream::finish() {
   if (closed() || finishing_) return;
   finishing_ = true;
@@ -159,9 +164,11 @@
 
 void tcp_stream::flush() {
   if (!connected_) return;
+  bool sent = false;
   if (!output_.empty()) {
     auto count =
         ::send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+    sent = count > 0;
     if (count < 0 && errno != EAGAIN && errno != EINTR)
       return handle_disconnect();
     if (count > 0) output_.erase(0, static_cast<std::size_t>(count));
@@ -169,6 +176,7 @@
   if (output_.empty()) clear_buffer(output_);
   if (output_.empty() && finishing_) return send_end();
   watch_writable(!output_.empty());
+  if (sent) owner_.on_sent();
 }
 
 void tcp_stream::watch_writable(bool on) {
@@ -184,6 +192,7 @@
 }
 
 void tcp_stream::handle_disconnect() {
+  discarded_ = output_.size();
   close();
   owner_.on_closed();
 }
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -16,6 +16,8 @@
   virtual void on_open() {}
   /// New bytes were appended to `input()`; the owner removes those it consumed.
   virtual void on_input() = 0;
+  /// Queued bytes were passed to the system.
+  virtual void on_sent() {}
   /// The connection has ended: the peer closed it, it failed, or `finish` is
   /// complete. Called at most once per connection.
   virtual void on_closed() = 0;
@@ -46,6 +48,11 @@
   /// them.
   std::string& output() { return output_; }
   std::string_view unsent() const { return output_; }
+  /// The number of sent bytes that the peer's system has not acknowledged.
+  std::size_t unacknowledged() const;
+  /// The number of queued bytes that were discarded when the connection failed
+  /// or the peer closed it.
+  std::size_t discarded() const { return discarded_; }
   void schedule_flush();
   /// The bytes received and not yet consumed.
   std::string& input() { return input_; }
@@ -82,6 +89,7 @@
   bool watching_writable_ = false;
   bool input_paused_ = false;
   bool finishing_ = false;
+  std::size_t discarded_ = 0;
   timer close_timer_;
   std::string input_;
   std::string output_;
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -19,6 +19,10 @@
 
 namespace {
 
+// Rows of 256 KiB: answers larger than the buffers of the system, and smaller.
+constexpr unsigned beyond_buffers = 24;
+constexpr unsigned within_buffers = 1;
+
 struct stop_fixture : process_fixture {
   /// Turns the loop until the process stops; databases take a while to answer.
   void run_until_stopped() {
@@ -33,19 +37,18 @@
     for (int i = 0; i < 20; ++i) loop.turn(5ms);
   }
 
-  /// Opens a session and gets `count` answers ready, together larger than the
-  /// buffers of the system.
-  std::unique_ptr<slow_caller> request_large_answers(unsigned count) {
+  /// Opens a session and gets an answer of this size ready, which its caller
+  /// does not read.
+  std::unique_ptr<slow_caller> request_large_answer(unsigned rows) {
+    first.large_rows = rows;
     auto caller = std::make_unique<slow_caller>(settings.caller_address);
-    caller->send("CONNECT orders key-1");
-    caller->send("QUERY 0 SET note " + std::string(1'000'000, 'x'));
-    for (unsigned i = 1; i <= count; ++i)
-      caller->send("QUERY " + std::to_string(i) + " FETCH 1a4");
+    caller->send_line("CONNECT orders key-1");
+    caller->send_line("QUERY 1 FETCH large");
     run_until([&] {
       caller->send();
-      return caller->all_sent() && first.executed().size() == count;
+      return caller->all_sent() && first.executed().size() == 1;
     });
-    run_for(100ms);
+    run_for(200ms);
     return caller;
   }
 };
@@ -108,16 +111,49 @@
 // answer is still being sent.
 BOOST_AUTO_TEST_CASE(a_stop_sends_the_answers_that_a_slow_caller_awaits) {
   run_until([&] { return ready(); });
-  auto caller = request_large_answers(12);
+  auto caller = request_large_answer(beyond_buffers);
   std::raise(SIGTERM);
   run_for(settings.shutdown_timeout / 2 + 500ms);
   BOOST_TEST(!loop.stopped());
   run_until([&] {
-    caller->receive();
+    caller->read();
     return loop.stopped() || caller->ended();
   });
   BOOST_TEST(caller->ended());
-  BOOST_TEST(caller->answers() == 14U);
+  BOOST_TEST(!caller->was_reset());
+  BOOST_TEST(caller->answers() == 2U);
+}
+
+// Guards against a stop that ends a session, and discards its next statement,
+// while the caller has yet to read answers that the system holds for it.
+BOOST_AUTO_TEST_CASE(a_statement_of_a_caller_behind_on_reading_is_refused) {
+  run_until([&] { return ready(); });
+  auto caller = request_large_answer(within_buffers);
+  std::raise(SIGTERM);
+  run_for(settings.shutdown_timeout / 2 + 500ms);
+  caller->send_line("QUERY 9 PUT 1a4 x");
+  run_for(100ms);
+  run_until([&] {
+    caller->read();
+    return loop.stopped() || caller->ended();
+  });
+  BOOST_TEST(caller->ended());
+  BOOST_TEST(caller->answers() == 3U);
+  BOOST_TEST(first.log_end == 100U);
+}
+
+// Guards against answers that are lost without a trace: their caller's
+// connection failed.
+BOOST_AUTO_TEST_CASE(answers_lost_with_their_connection_are_counted) {
+  run_until([&] { return ready(); });
+  request_large_answer(beyond_buffers).reset();
+  run_for(100ms);
+  slow_caller probe(settings.readiness_address);
+  probe.send("GET /metrics HTTP/1.1\r\n\r\n");
+  run_for(100ms);
+  probe.read();
+  BOOST_TEST(probe.received().find("{name=\"answers_cut\"} 1\n") !=
+             std::string::npos);
 }
 
 // Guards against a caller that can't tell whether its write ran: it was sent
@@ -125,16 +161,16 @@
 BOOST_AUTO_TEST_CASE(a_statement_that_crosses_the_close_is_refused) {
   run_until([&] { return ready(); });
   slow_caller caller(settings.caller_address);
-  caller.send("CONNECT orders key-1");
+  caller.send_line("CONNECT orders key-1");
   run_for(100ms);
   std::raise(SIGTERM);
   run_until([&] {
-    caller.receive();
+    caller.read();
     return caller.ended();
   });
-  caller.send("QUERY 1 PUT 1a4 x");
+  caller.send_line("QUERY 1 PUT 1a4 x");
   run_for(100ms);
-  caller.receive();
+  caller.read();
   BOOST_TEST(caller.received().find("ERR BUSY this instance stops") !=
              std::string::npos);
   BOOST_TEST(!caller.was_reset());
@@ -149,20 +185,20 @@
   slow_caller caller(settings.caller_address);
   auto run_until_answered = [&](unsigned count) {
     run_until([&] {
-      caller.receive();
+      caller.read();
       return caller.answers() >= count || caller.ended();
     });
   };
-  caller.send("CONNECT orders key-1");
-  caller.send("QUERY 1 BEGIN");
-  caller.send("QUERY 2 PUT 1a4 x");
+  caller.send_line("CONNECT orders key-1");
+  caller.send_line("QUERY 1 BEGIN");
+  caller.send_line("QUERY 2 PUT 1a4 x");
   run_until_answered(3);
   std::raise(SIGTERM);
   run_for(settings.shutdown_timeout / 2 + 100ms);
   const std::string rollback = "QUERY 3 ROLLBACK\r\n";
   std::string refused = "QUERY 4 PUT 1a4 ";
   refused += std::string(16'384 - 2 - rollback.size() - refused.size(), 'x');
-  caller.send(rollback + refused + "\r\nQUERY 5 PUT 1a4 x");
+  caller.send_line(rollback + refused + "\r\nQUERY 5 PUT 1a4 x");
   run_until_answered(6);
   BOOST_TEST(caller.answers() == 6U);
   BOOST_TEST(first.log_end == 100U);
@@ -172,12 +208,26 @@
 // the signal was raised.
 BOOST_AUTO_TEST_CASE(a_stop_counts_from_the_signal) {
   run_until([&] { return ready(); });
+  // Takes no answers, so that the process runs for as long as it may.
+  auto slow = request_large_answer(beyond_buffers);
   auto caller = connect();
   std::raise(SIGTERM);
+  auto timeout_ends = boot_time() + settings.shutdown_timeout;
   std::this_thread::sleep_for(settings.shutdown_timeout / 2 + 10ms);
+  // Sent as the signal is handled, before the stop closes idle sessions.
+  caller->send("QUERY 1 PUT 1a4 x");
   loop.turn(0ms);
-  BOOST_TEST(starts_with(caller->request("QUERY 1 PUT 1a4 x"),
-                         "ERR BUSY this instance stops"));
+  auto answer = caller->read_answer();
+  BOOST_TEST(starts_with(answer, "ERR BUSY this instance stops"));
+  BOOST_TEST(answer.find("|READY ") != std::string::npos);
+  instant running_at;
+  while (!loop.stopped()) {
+    running_at = loop.now();
+    loop.turn(20ms);
+  }
+  // The first turn that begins after the timeout ends the process, however late
+  // it begins.
+  BOOST_TEST((running_at < timeout_ends));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
