Refuse what arrived while a caller took no answers

Callers see: at a stop, one that had taken no answers gets a refusal of its first waiting statement and then the end of its session; those behind it, sent long before, have no answer. Found by a review.

Cause: a session that closes behind a refusal polled its input while that was paused, which reads nothing, and the timer that waits for acknowledged answers closed it without a look at new input.

Change: input goes on before that poll; the timer looks at the input first; and a session doesn't end while a poll may have left something. Input is paused only when it is full, as behind a running statement, so that callers that write everything before they read aren't held back earlier than before. Idle sessions ask the system for unacknowledged bytes last. Two tests wait for what they need instead of for a time, two also check that something ran.

--- a/src/proxy/client-session-run.cc
+++ b/src/proxy/client-session-run.cc
@@ -441,7 +441,7 @@
   if (running_ && statement_.deferred) return check_deferred();
   if (running_) return on_deadline();
   bool closes = refused_for_stop_ && transaction_phase_ == phase::none;
-  if (closes) return finish_when_delivered();
+  if (closes) return on_input();
   // Between the statements of a transaction the timer bounds the idle time.
   break_transaction("the transaction was idle for too long");
   release_link();
--- a/src/proxy/client-session-stop.cc
+++ b/src/proxy/client-session-stop.cc
@@ -14,9 +14,9 @@
 
 void client_session::close_if_idle() {
   if (state_.loop.now() - answered_at_ < min_idle) return;
-  if (is_sending() || !opened_ || !can_close()) return;
+  if (!opened_ || !can_close() || is_sending()) return;
   session_ptr keep(this);
-  stream_.poll_input();
+  if (!stream_.poll_input()) return;
   if (can_close() && !is_sending()) finish_for_stop();
 }
 
--- a/src/proxy/client-session.cc
+++ b/src/proxy/client-session.cc
@@ -73,15 +73,17 @@
   // Statements that have arrived behind a refused one are refused, too.
   bool closes = refused_for_stop_ && caller_reads;
   if (closes && can_close()) {
-    stream_.poll_input();
+    stream_.pause_input(false);
+    closes = stream_.poll_input();
     handle_lines();
   }
   handling_input_ = false;
   if (ended_) return;
   if (closes && can_close()) return finish_when_delivered();
   bool is_full = stream_.unread().size() > max_unread;
-  stream_.pause_input(waits_for_caller_ || (running_ && is_full));
-  if (running_ || waits_for_caller_ || !is_full) return;
+  bool must_wait = running_ || waits_for_caller_;
+  stream_.pause_input(must_wait && is_full);
+  if (must_wait || !is_full) return;
   wire::write_failure(stream_.output(), failure_kind::too_big,
                       "line of more than 1 MiB", duration{0});
   finish();
--- a/src/proxy/tcp-stream.cc
+++ b/src/proxy/tcp-stream.cc
@@ -156,10 +156,11 @@
   return false;
 }
 
-void tcp_stream::poll_input() {
+bool tcp_stream::poll_input() {
   for (int i = 0; i < max_polls && open() && !input_paused_; ++i) {
-    if (!receive()) return;
+    if (!receive()) return true;
   }
+  return !open();
 }
 
 void tcp_stream::flush() {
--- a/src/proxy/tcp-stream.h
+++ b/src/proxy/tcp-stream.h
@@ -60,7 +60,8 @@
   /// Leaves what arrives in the system's buffer, so that the peer has to wait.
   void pause_input(bool paused);
   /// Receives what has arrived since the last event.
-  void poll_input();
+  /// @return false if more may have arrived than is received at once.
+  bool poll_input();
   /// Sends the queued bytes and the end of the stream, then discards input
   /// until the peer closes the connection too, for at most a second. The owner
   /// keeps the stream until `on_closed`.
--- a/test/client-session-test.cc
+++ b/test/client-session-test.cc
@@ -491,11 +491,13 @@
   for (unsigned i = 0; i < statements; ++i)
     caller.send_line("QUERY " + std::to_string(i) + " FETCH large");
   run_for(1s);
+  BOOST_TEST(first.executed().size() > 0U);
   BOOST_TEST(first.executed().size() < statements / 2);
-  auto end = boot_time() + 20s;
-  while (caller.answers() < statements + 1 && boot_time() < end) {
-    caller.read();
-    loop.turn(5ms);
+  while (caller.answers() < statements + 1 && !caller.ended()) {
+    for (int i = 0; i < 100; ++i) {
+      caller.read();
+      loop.turn(1ms);
+    }
   }
   BOOST_TEST(caller.answers() == statements + 1);
 }
@@ -537,6 +539,7 @@
     return caller.all_sent();
   };
   while (taken < many && send_one()) ++taken;
+  BOOST_TEST(taken > 0);
   BOOST_TEST(taken < many);
 }
 
--- a/test/planned-stop-test.cc
+++ b/test/planned-stop-test.cc
@@ -142,18 +142,47 @@
   BOOST_TEST(first.log_end == 100U);
 }
 
+// Guards against a stop that discards what the instance did not read while its
+// caller took no answers.
+BOOST_AUTO_TEST_CASE(statements_behind_an_unread_answer_are_refused) {
+  run_until([&] { return ready(); });
+  auto caller = request_large_answer(beyond_buffers);
+  caller->send_line("QUERY 2 PUT 1a4 x");
+  run_for(100ms);
+  for (int i = 3; i < 6; ++i) {
+    caller->send_line("QUERY " + std::to_string(i) + " PUT 1a4 " +
+                      std::string(600'000, 'x'));
+  }
+  run_until([&] {
+    caller->send();
+    return caller->all_sent();
+  });
+  std::raise(SIGTERM);
+  run_for(settings.shutdown_timeout / 2 + 500ms);
+  run_until([&] {
+    caller->read();
+    return loop.stopped() || caller->ended();
+  });
+  BOOST_TEST(caller->answers() == 6U);
+  BOOST_TEST(!caller->was_reset());
+  BOOST_TEST(first.log_end == 100U);
+}
+
 // Guards against answers that are lost without a trace: their caller's
 // connection failed.
 BOOST_AUTO_TEST_CASE(answers_lost_with_their_connection_are_counted) {
   run_until([&] { return ready(); });
   request_large_answer(beyond_buffers).reset();
-  run_for(100ms);
-  slow_caller probe(settings.readiness_address);
-  probe.send("GET /metrics HTTP/1.1\r\n\r\n");
-  run_for(100ms);
-  probe.read();
-  BOOST_TEST(probe.received().find("{name=\"answers_cut\"} 1\n") !=
-             std::string::npos);
+  std::string metrics;
+  for (int i = 0; i < 100 && metrics.empty(); ++i) {
+    slow_caller probe(settings.readiness_address);
+    probe.send("GET /metrics HTTP/1.1\r\n\r\n");
+    run_for(100ms);
+    probe.read();
+    auto found = probe.received().find("{name=\"answers_cut\"} 1\n");
+    if (found != std::string::npos) metrics = probe.received();
+  }
+  BOOST_TEST(!metrics.empty());
 }
 
 // Guards against a caller that can't tell whether its write ran: it was sent
