Try databases again that were slow once

After a database had been slow for a moment, reads of an instance could avoid it for good: callers went to a busier or more distant database.

Cause: the response time is an average over answers, so it stays as it was once the database gets no statement. Only the share of failures decays.

a_database_that_was_slow_is_tried_again failed before: an average of 400 ms counted whole after 30 s without a statement. The rule takes effect where choose_upstream decides; the latencies of choose_by_load are unchanged.

--- a/src/proxy/placement/upstream-choice.cc
+++ b/src/proxy/placement/upstream-choice.cc
@@ -1,6 +1,7 @@
 #include "toucanmux/proxy/placement/upstream-choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace toucanmux {
 
@@ -10,14 +11,38 @@
 constexpr duration leader_cost = std::chrono::milliseconds(8);
 // Lower bound of the response time, so that in-flight statements always count.
 constexpr duration min_response_time = std::chrono::milliseconds(5);
+// Half-life of what is known of a database that runs no statements.
+constexpr duration knowledge_half_life = std::chrono::seconds(3);
+
+duration shortest_response_time(std::span<const upstream_candidate> group) {
+  auto shortest = duration::max();
+  for (const auto& candidate : group) {
+    if (!candidate.usable) continue;
+    shortest = std::min(shortest, candidate.response_time);
+  }
+  return std::max(shortest, min_response_time);
+}
+
+// No statement shows that an unused database has become faster, so that its
+// response time is expected to approach the shortest one of the group.
+duration expected_response_time(const upstream_candidate& candidate,
+                                duration shortest) {
+  if (candidate.response_time <= shortest) return shortest;
+  if (candidate.in_flight > 0) return candidate.response_time;
+  std::chrono::duration<double> idle_time = candidate.idle_time;
+  std::chrono::duration<double> half_life = knowledge_half_life;
+  auto excess =
+      (candidate.response_time - shortest) * std::exp2(-idle_time / half_life);
+  return shortest + std::chrono::duration_cast<duration>(excess);
+}
 
 // The expected time until the caller has an answer. A database that lacks the
 // required position makes a second attempt necessary, and so does one that
 // fails. The failure rate is a cost rather than an exclusion, so that databases
 // that all fail alike stay in use.
 duration cost_of(const upstream_candidate& candidate,
-                 const upstream_requirements& requirements) {
-  duration response_time = std::max(candidate.response_time, min_response_time);
+                 const upstream_requirements& requirements, duration shortest) {
+  auto response_time = expected_response_time(candidate, shortest);
   duration cost = response_time * (2 + candidate.in_flight) / 2;
   if (!candidate.warm) cost += candidate.open_time;
   if (candidate.leader && !requirements.leader_only) cost += leader_cost;
@@ -33,13 +58,14 @@
 std::optional<std::size_t> choose_upstream(
     std::span<const upstream_candidate> candidates,
     const upstream_requirements& requirements) {
+  auto shortest = shortest_response_time(candidates);
   std::optional<std::size_t> best;
   duration lowest_cost{};
   for (const auto& candidate : candidates) {
     if (!candidate.usable || (!candidate.warm && !candidate.can_open)) continue;
     if (requirements.leader_only && !candidate.leader) continue;
     if (requirements.excluded >> (candidate.index % 64) & 1U) continue;
-    duration cost = cost_of(candidate, requirements);
+    duration cost = cost_of(candidate, requirements, shortest);
     if (best && cost >= lowest_cost) continue;
     best = candidate.index;
     lowest_cost = cost;
--- a/src/proxy/upstream.h
+++ b/src/proxy/upstream.h
@@ -44,6 +44,7 @@
   std::uint64_t term = 0;  ///< Highest term seen in answers.
   /// Moving average that starts with this estimate.
   duration response_time = std::chrono::milliseconds(15);
+  instant response_time_at;  ///< Of the last answer in that average.
   /// Moving average of the time to open a connection.
   duration open_time = std::chrono::milliseconds(15);
   outcome_score outcomes;
--- a/test/upstream-choice-test.cc
+++ b/test/upstream-choice-test.cc
@@ -94,6 +94,19 @@
   BOOST_TEST(choose_upstream(candidates, {false, 0}).value() == 1U);
 }
 
+// Guards against a database that was slow once and is never read again, though
+// the others have more work.
+BOOST_AUTO_TEST_CASE(a_database_that_was_slow_is_tried_again) {
+  auto candidates = group();
+  candidates[1].response_time = 400ms;
+  candidates[2].in_flight = 1;
+  BOOST_TEST(choose_upstream(candidates, {}).value() != 1U);
+  candidates[1].idle_time = 1s;
+  BOOST_TEST(choose_upstream(candidates, {}).value() != 1U);
+  candidates[1].idle_time = 30s;
+  BOOST_TEST(choose_upstream(candidates, {}).value() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(failures_outweigh_the_failure_domain) {
   auto candidates = group();
   outcome_score score;
