Keep a place at the leader free for writes

In groups whose statements take long, reads went to the leader as soon as its average was a little lower than that of the replicas, and writes, which have no other place, queued behind them.

Cause: a constant of 8 ms kept reads away from the leader. That is half of a response time of 15 ms, and nothing beside one of 300 ms. It came from the deployments that were known.

Change: reads see the leader with one more statement in progress, whatever statements take; where the expected times are equal, they go to a replica.

long_reads_leave_the_leader_to_writes failed before.

--- a/src/proxy/placement/upstream-choice.cc
+++ b/src/proxy/placement/upstream-choice.cc
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace toucanmux {
 
 namespace {
 
-// Reads prefer replicas, since only the leader can run writes.
-constexpr duration leader_cost = std::chrono::milliseconds(8);
+// Reads see the leader with a further statement in progress, since only it can
+// run the next write.
+constexpr unsigned reserved_for_writes = 1;
 // Lower bound of the response time, so that in-flight statements always count.
 constexpr duration min_response_time = std::chrono::milliseconds(5);
 // Half-life of what is known of a database that runs no statements.
@@ -43,9 +45,11 @@
 duration cost_of(const upstream_candidate& candidate,
                  const upstream_requirements& requirements, duration shortest) {
   auto response_time = expected_response_time(candidate, shortest);
-  duration cost = response_time * (2 + candidate.in_flight) / 2;
+  unsigned in_flight = candidate.in_flight;
+  if (candidate.leader && !requirements.leader_only)
+    in_flight += reserved_for_writes;
+  duration cost = response_time * (2 + in_flight) / 2;
   if (!candidate.warm) cost += candidate.open_time;
-  if (candidate.leader && !requirements.leader_only) cost += leader_cost;
   if (!candidate.same_domain) cost += max_domain_detour;
   if (candidate.lagging) cost += response_time;
   cost += std::chrono::duration_cast<duration>(candidate.late_after *
@@ -60,15 +64,16 @@
     const upstream_requirements& requirements) {
   auto shortest = shortest_response_time(candidates);
   std::optional<std::size_t> best;
-  duration lowest_cost{};
+  std::pair<duration, bool> lowest_rank;
   for (const auto& candidate : candidates) {
     if (!candidate.usable || (!candidate.warm && !candidate.can_open)) continue;
     if (requirements.leader_only && !candidate.leader) continue;
     if (requirements.excluded >> (candidate.index % 64) & 1U) continue;
     duration cost = cost_of(candidate, requirements, shortest);
-    if (best && cost >= lowest_cost) continue;
+    std::pair rank(cost, candidate.leader);
+    if (best && rank >= lowest_rank) continue;
     best = candidate.index;
-    lowest_cost = cost;
+    lowest_rank = rank;
   }
   return best;
 }
--- a/test/upstream-choice-test.cc
+++ b/test/upstream-choice-test.cc
@@ -51,6 +51,17 @@
   BOOST_TEST(choose_upstream(candidates, {}).value() == 0U);
 }
 
+// Guards against reads that fill the leader because it answers them a little
+// sooner, in groups whose statements take long.
+BOOST_AUTO_TEST_CASE(long_reads_leave_the_leader_to_writes) {
+  auto candidates = group();
+  for (auto& database : candidates) database.response_time = 300ms;
+  candidates[0].response_time = 270ms;
+  BOOST_TEST(choose_upstream(candidates, {}).value() != 0U);
+  candidates[1].in_flight = candidates[2].in_flight = 2;
+  BOOST_TEST(choose_upstream(candidates, {}).value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(reads_stay_in_their_failure_domain) {
   auto candidates = group();
   candidates[1].same_domain = false;
@@ -68,19 +79,23 @@
 // from read to read, so the average response times of equal databases differ.
 // Under the usual load nearly all reads must stay in their domain.
 BOOST_AUTO_TEST_CASE(the_spread_of_response_times_moves_few_reads) {
+  constexpr duration interval = 50ms;
   std::mt19937 random(5);
   std::lognormal_distribution<double> work(std::log(33.0), 0.7);
   std::vector<double> averages{33, 33, 33};
+  std::vector<int> last_read{0, 0, 0};
   int stayed = 0;
   for (int i = 0; i < 2000; ++i) {
     auto candidates = group();
     for (auto& database : candidates) {
       database.response_time =
           std::chrono::milliseconds(std::lround(averages[database.index]));
+      database.idle_time = (i - last_read[database.index]) * interval;
     }
     candidates[0].same_domain = candidates[1].same_domain = false;
     auto chosen = choose_upstream(candidates, {false, 0}).value();
     stayed += chosen == 2 ? 1 : 0;
+    last_read[chosen] = i;
     averages[chosen] += 0.2 * (work(random) - averages[chosen]);
   }
   BOOST_TEST(stayed >= 2000 * 0.9);
