Let owners use the connections that nobody borrows

With shared connections, callers waited while a quarter of the connections to a busy database was unused.

Cause: owners were limited to three quarters of the usable connections. The last quarter is for instances that don't reach an owner, and usually none does without.

Change: an owner whose connections are all in use opens its part of that quarter and closes those after 0.3 s without use. All owners together stay within the usable connections. Links that are being closed no longer count as open when idle ones are closed, which closed more than was intended.

--- a/src/proxy/connections/connection-owners.cc
+++ b/src/proxy/connections/connection-owners.cc
@@ -99,7 +99,10 @@
   connection_allowance out;
   unsigned quota = owner_quota();
   if (contains(self)) {
-    out.share = out.limit = quota;
+    // What the others may borrow is free most of the time.
+    out.share = quota;
+    out.limit = usable_connections(max_connections_) /
+                static_cast<unsigned>(owners_.size());
     return out;
   }
   auto owners = static_cast<unsigned>(owners_.size());
--- a/src/proxy/upstream-group-probes.cc
+++ b/src/proxy/upstream-group-probes.cc
@@ -156,7 +156,8 @@
 void upstream_group::close_surplus_links_to(upstream& database,
                                             bool is_leader) {
   instant now = loop_.now();
-  auto max_idle = database.link_idle_timeout.value(database.allowance.borrows);
+  const auto& idle_timeout = database.link_idle_timeout;
+  auto max_idle = idle_timeout.value(database.allowance.borrows);
   bool is_owner =
       sharing_ && sharing_->owners_of(database.entry, policy_.max_connections)
                       .contains(self_);
@@ -166,12 +167,17 @@
   bool unused_database =
       !usable(database) && (database.removed_at || database.draining_since);
   auto links = database.links;
-  std::size_t open_links = links.size();
+  auto open_links = static_cast<std::size_t>(
+      std::count_if(links.begin(), links.end(), [](const auto& link) {
+        return link->current_state() != upstream_link::state::retiring;
+      }));
   for (const auto& link : links) {
     if (!link->idle()) continue;
     bool surplus = open_links > database.allowance.limit;
+    bool borrowed = open_links > database.allowance.share;
+    auto timeout = borrowed ? idle_timeout.value(true) : max_idle;
     bool idle_too_long =
-        open_links > kept_links && now - link->idle_since() > max_idle;
+        open_links > kept_links && now - link->idle_since() > timeout;
     if (!unused_database && !surplus && !idle_too_long) continue;
     link->retire(retire_timeout);
     --open_links;
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -508,7 +508,12 @@
                                        const link_request& request) {
   if (is_opening(index, request.team)) return;
   upstream& up = *upstreams_[index];
-  if (up.links.size() < up.allowance.limit) {
+  upstream_link* oldest = oldest_idle_link(up);
+  // Rather than use what is left to other instances, an owner closes an idle
+  // connection of another team.
+  bool has_room = up.links.size() < up.allowance.limit;
+  bool exceeds_share = up.links.size() >= up.allowance.share;
+  if (has_room && (up.allowance.borrows || !exceeds_share || !oldest)) {
     open_link(index, request.team);
     return;
   }
@@ -517,9 +522,7 @@
         return link->current_state() == upstream_link::state::retiring;
       });
   // The database counts a connection until it has processed the close.
-  if (is_closing) return;
-  upstream_link* oldest = oldest_idle_link(up);
-  if (!oldest) return;
+  if (is_closing || !oldest) return;
   ++connections_evicted_;
   oldest->retire(retire_timeout);
 }
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -450,6 +450,38 @@
   owner_group().set_sharing(nullptr);
 }
 
+// Guards against callers that wait while connections that other instances may
+// borrow are free, and against owners that keep these once they are idle.
+BOOST_AUTO_TEST_CASE(an_owner_uses_free_connections_while_callers_wait) {
+  constexpr unsigned max_connections = 13;
+  constexpr std::size_t quota = 8;
+  const std::size_t usable = usable_connections(max_connections);
+  connection_sharing own_view(loop, owner.log, owner.settings.self,
+                              domain_id("a"));
+  own_view.set_instances(
+      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
+  owner_group().set_policy({owner_group().id(), max_connections, 0});
+  owner_group().set_sharing(&own_view);
+  first.defer_answers = true;
+  std::vector<std::unique_ptr<line_client>> senders;
+  for (std::size_t i = 0; i < usable; ++i) {
+    senders.push_back(std::make_unique<line_client>(loop, server->address()));
+    senders.back()->request("CONNECT ledger team-" + std::to_string(i) +
+                            " i-1 1");
+    senders.back()->send("QUERY 1 WITHIN 60000 FETCH 1");
+  }
+  int turns = 0;
+  run_until([&] { return first.executed().size() == usable || ++turns > 500; });
+  BOOST_TEST(first.executed().size() == usable);
+  BOOST_TEST(first.connections() == usable);
+  first.send_deferred_answers();
+  run_until([&] { return first.connections() <= quota; });
+  auto end = boot_time() + 1s;
+  run_until([&] { return boot_time() >= end; });
+  BOOST_TEST(first.connections() == quota);
+  owner_group().set_sharing(nullptr);
+}
+
 // Guards against closing an owner's connections as early as those of other
 // instances, after 0.3 to 1.5 s.
 BOOST_AUTO_TEST_CASE(an_owner_keeps_an_idle_connection) {
