Measure how long promotions take

Callers that were refused during a leader change were told to return as if a promotion took 400 ms. Where it takes a second they returned too early, were refused again, and used up their retries.

Cause: a constant between the times of the known deployments.

the_estimate_of_a_promotion_follows_earlier_ones failed before.

--- a/include/toucanmux/proxy/admission/leader-change-estimate.h
+++ b/include/toucanmux/proxy/admission/leader-change-estimate.h
@@ -16,6 +16,8 @@
   duration in_phase{0};    ///< Time since the record was learned.
   duration leaderless{0};  ///< Time since no leader is known.
   bool suspected = false;  ///< The leader is seen failing.
+  /// Usual time from the naming of a leader until it is known to lead.
+  duration promotion_time{0};
 };
 
 /// The expected time until statements may be sent to a leader again.
--- a/src/proxy/proxy-state.h
+++ b/src/proxy/proxy-state.h
@@ -67,6 +67,7 @@
   domain_rules domains;
   std::uint64_t residency_refusals = 0;  ///< Statements refused for regions.
   leader_lease leader_leases;
+  promotion_time promotions;
   rate_ledger rate_limits;
   retry_budget read_retries;  ///< For reads that failed or were not
                               ///< answered in time.
--- a/src/proxy/store-sync.cc
+++ b/src/proxy/store-sync.cc
@@ -286,6 +286,7 @@
           state_.settings.domain, state_.leader_leases,
           state_.settings.heartbeat_interval, state_.settings.drain_timeout);
       group->set_domain_rules(state_.domains);
+      group->set_promotion_time(state_.promotions);
       // Earlier lists skipped the databases of this group.
       watch_from_ = 0;
     }
--- a/src/proxy/upstream-group-admission.cc
+++ b/src/proxy/upstream-group-admission.cc
@@ -177,6 +177,7 @@
   }
   if (leaderless_since_) state.leaderless = now - *leaderless_since_;
   state.suspected = watch_.is_suspected(now);
+  state.promotion_time = promotion_time_->value();
   return toucanmux::leader_change_remaining(state);
 }
 
--- a/src/proxy/upstream-group.cc
+++ b/src/proxy/upstream-group.cc
@@ -266,6 +266,18 @@
   return true;
 }
 
+void upstream_group::note_naming(const leader_record& stored) {
+  if (stored.phase == leadership_phase::revoked) named_at_.reset();
+  if (stored.phase == leadership_phase::named)
+    named_at_ = leases_.known_since(hash_);
+}
+
+void upstream_group::measure_promotion() {
+  if (!named_at_ || !leader_index()) return;
+  promotion_time_->record(loop_.now() - *named_at_);
+  named_at_.reset();
+}
+
 void upstream_group::update_leader() {
   const leader_record* stored = record();
   if (stored && stored->version() != seen_record_.version()) {
@@ -276,11 +288,13 @@
     if (!inherited) {
       previous_term_ = leader_term();
       for (auto& up : upstreams_) up->confirmed_leadership = false;
+      note_naming(*stored);
     }
   }
   if (auto expected = expected_leader_index()) {
     watch_.set_leader(upstreams_[*expected]->entry.id);
   }
+  measure_promotion();
   auto index = leader_index();
   if (index) {
     leaderless_since_.reset();
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -13,6 +13,7 @@
 #include "proxy/upstream-link.h"
 #include "proxy/upstream.h"
 #include "toucanmux/proxy/admission/finish-estimate.h"
+#include "toucanmux/proxy/admission/promotion-time.h"
 #include "toucanmux/proxy/admission/retry-schedule.h"
 #include "toucanmux/proxy/domain/availability.h"
 #include "toucanmux/proxy/fleet-config.h"
@@ -54,6 +55,9 @@
   void set_sharing(connection_sharing* sharing);
   /// @param rules are used as long as the group exists.
   void set_domain_rules(const domain_rules& rules) { rules_ = &rules; }
+  /// @param shared by all groups, since leaders change rarely; is used as long
+  /// as the group exists.
+  void set_promotion_time(promotion_time& shared) { promotion_time_ = &shared; }
   void set_members(std::shared_ptr<const std::vector<member_id>> members);
   /// Adds a database or updates its discovery entry.
   /// @param changed_after no later than the entry's last change in the store;
@@ -230,6 +234,8 @@
   void record_answer(upstream& database);
   void record_opening(const upstream_link& link);
   void update_leader();
+  void note_naming(const leader_record& stored);
+  void measure_promotion();
   upstream_candidate make_candidate(std::size_t index, bool is_leader,
                                     const link_request& request) const;
   upstream_link* idle_link(upstream& database,
@@ -293,6 +299,9 @@
   bool check_scheduled_ = false;
   retry_schedule retries_;
   std::optional<instant> leaderless_since_;
+  std::optional<instant> named_at_;  ///< While the leader is being promoted.
+  promotion_time own_promotion_time_;
+  promotion_time* promotion_time_ = &own_promotion_time_;
   position_samples samples_;
   leader_watch watch_;
   std::optional<database_id> logged_leader_;
--- a/test/retry-time-test.cc
+++ b/test/retry-time-test.cc
@@ -46,6 +46,7 @@
 // Guards against retries that come while the leader is still being replaced.
 BOOST_AUTO_TEST_CASE(the_remaining_time_of_a_leader_change_shrinks) {
   leader_change_state state;
+  state.promotion_time = 400ms;
   state.suspected = true;
   auto at_first = leader_change_remaining(state);
   state.leaderless = 400ms;
--- a/test/upstream-group-test.cc
+++ b/test/upstream-group-test.cc
@@ -97,4 +97,20 @@
   BOOST_TEST(!group().may_serve(leader_only));
 }
 
+// Guards against callers that return while the leader is still being promoted,
+// where promotions take longer than usual.
+BOOST_AUTO_TEST_CASE(the_estimate_of_a_promotion_follows_earlier_ones) {
+  group().set_probe_team(team_id("glaziers"));
+  set_leader("i-1", leadership_phase::revoked);
+  first.is_primary = false;
+  set_leader("i-2", leadership_phase::named);
+  run_for(1200ms);
+  BOOST_TEST(!group().leader().has_value());
+  second.is_primary = true;
+  for (int i = 0; i < 100 && !group().leader(); ++i) run_for(20ms);
+  set_leader("i-2", leadership_phase::revoked);
+  set_leader("i-3", leadership_phase::named);
+  BOOST_TEST((group().leader_change_remaining() > 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
