Refuse statements while their callers have time left

A statement that waited in toucanmux-pool was refused when its deadline had passed, and one that got a slot just before it ran in vain. Its caller learned too late that it had to return.

Cause: the latest start of a waiting request was its deadline. Only the check on arrival took the time into account that the statement itself needs.

Change: the latest start is the deadline less the expected time of a statement.

--- a/include/toucanmux/process/fair-queue.h
+++ b/include/toucanmux/process/fair-queue.h
@@ -300,10 +300,12 @@
   reason_code refusal_cause(const team_queue& team, duration time_left,
                             request_kind kind) const;
   duration expected_wait(const team_queue& team, request_kind kind) const;
+  duration expected_service() const;
   std::size_t free_slots(request_kind kind) const;
   void refuse(std::uint64_t id, reason_code cause, duration retry_after);
   void refuse_queued(slot_request& request, reason_code cause,
                      duration retry_after);
+  void refuse_late(slot_request& request);
   void refuse_all_waiting(team_queue& team, reason_code cause,
                           duration retry_after);
   void enqueue(slot_request& arrived);
--- a/src/process/fair-queue.cc
+++ b/src/process/fair-queue.cc
@@ -87,7 +87,9 @@
   arrived.id = request.id;
   arrived.team = &team;
   arrived.kind = kind;
-  arrived.deadline = now_ + request.time_left;
+  // It still has to run before the deadline; with a free slot it is tried.
+  auto latest_start = request.time_left - expected_service();
+  arrived.deadline = now_ + std::max(latest_start, duration(1));
   enqueue(arrived);
 }
 
@@ -112,9 +114,13 @@
   if (time_left <= duration(0)) return reason_code::deadline;
   auto wait = expected_wait(team, kind);
   if (wait == duration(0)) return reason_code::none;
-  auto service =
-      to_duration(expected_service_seconds_[index_of(request_kind::single)]);
-  return wait + service > time_left ? reason_code::deadline : reason_code::none;
+  return wait + expected_service() > time_left ? reason_code::deadline
+                                               : reason_code::none;
+}
+
+// Of a transaction, only the first statement has to end before the deadline.
+duration fair_queue::expected_service() const {
+  return to_duration(expected_service_seconds_[index_of(request_kind::single)]);
 }
 
 // Returns the smaller of two upper bounds: the time to serve the team's waiting
@@ -218,12 +224,16 @@
       request_rollback(expired);
       continue;
     }
-    auto wait = expected_wait(*expired.team, expired.kind);
-    refuse_queued(expired, reason_code::deadline,
-                  std::max(wait, settings_.least_retry_after));
+    refuse_late(expired);
   }
 }
 
+void fair_queue::refuse_late(slot_request& request) {
+  auto wait = expected_wait(*request.team, request.kind);
+  refuse_queued(request, reason_code::deadline,
+                std::max(wait, settings_.least_retry_after));
+}
+
 void fair_queue::refuse(std::uint64_t id, reason_code cause,
                         duration retry_after) {
   actions_.push_back(refuse_slot{id, cause, retry_after});
@@ -285,7 +295,7 @@
     if (first.deadline > now_) {
       grant(first);
     } else {
-      refuse_queued(first, reason_code::deadline, settings_.least_retry_after);
+      refuse_late(first);
     }
   }
 }
--- a/test/fair-queue-test.cc
+++ b/test/fair-queue-test.cc
@@ -188,18 +188,21 @@
       refused(queue.step(at(0), statement_request(12, "b", 50))).empty());
 }
 
-BOOST_AUTO_TEST_CASE(a_waiting_request_is_refused_at_its_deadline) {
+// Guards against requests that wait until their deadline has passed, or get a
+// slot when too little time is left to use it: the caller learns too late that
+// it has to return.
+BOOST_AUTO_TEST_CASE(a_waiting_request_is_refused_when_it_would_end_too_late) {
   fair_queue queue(with_slots(1));
   queue.step(at(0), statement_request(1, "a"));
   auto actions = queue.step(at(0), statement_request(2, "a", 30));
   bool wakes = false;
   for (const auto& a : actions) {
     const auto* w = std::get_if<queue_wake>(&a);
-    wakes = wakes || (w != nullptr && w->at == at(30));
+    wakes = wakes || (w != nullptr && w->at == at(20));
   }
   BOOST_TEST(wakes);
-  BOOST_TEST(refused(queue.step(at(29), queue_timer())).empty());
-  auto refusals = refused(queue.step(at(30), queue_timer()));
+  BOOST_TEST(refused(queue.step(at(19), queue_timer())).empty());
+  auto refusals = refused(queue.step(at(20), queue_timer()));
   BOOST_REQUIRE(refusals.size() == 1);
   BOOST_CHECK(refusals[0].cause == reason_code::deadline);
   BOOST_TEST(granted(queue.step(at(40), slot_released{1})).empty());
