End a request whose next attempt would come too late

A request of toucanmux-entry that backed off until after its deadline waited for the deadline and was refused then, although nothing could happen in between.

Cause: the end of the backoff was cut to the deadline.

Change: such a request ends at once, with the reason and the retry time of its last attempt.

a_backoff_beyond_the_deadline_ends_the_request_at_once failed before. A check of at_the_deadline_only_a_sent_write_is_unknown expected the answer at the deadline; it now demands it 10 ms sooner.

--- a/src/request/request-attempts.cc
+++ b/src/request/request-attempts.cc
@@ -382,9 +382,13 @@
   wait_until(now_ + settings_.retry_delay * (1U << retries_));
 }
 
+// Ends the request if no time would be left after the wait.
 void request_attempts::wait_until(instant at) {
+  if (at >= deadline_) {
+    return finish(outcome_code::not_run, last_reason_, last_retry_after_);
+  }
   state_ = state::waiting;
-  wake_time_ = std::min(at, deadline_);
+  wake_time_ = at;
   actions_.push_back(wake_at{wake_time_});
 }
 
