Compute the serving state of a database in one place

The lanes, the running statements and the times of a database were put together in two functions that asked the same questions. Requests before another one are returned as a list, which the callback only wrapped, and the queue no longer inserts by priority, since each pass sorts it. No change of behavior.

--- a/src/proxy/admission/wait-queue.cc
+++ b/src/proxy/admission/wait-queue.cc
@@ -18,13 +18,7 @@
 
 }  // namespace
 
-void wait_queue::push(link_request& request) {
-  auto position = std::find_if(queue_.begin(), queue_.end(),
-                               [&](const link_request& queued) {
-                                 return queued.priority > request.priority;
-                               });
-  queue_.insert(position, request);
-}
+void wait_queue::push(link_request& request) { queue_.push_back(request); }
 
 std::size_t wait_queue::size() const {
   return static_cast<std::size_t>(std::distance(queue_.begin(), queue_.end()));
--- a/src/proxy/admission/wait-queue.h
+++ b/src/proxy/admission/wait-queue.h
@@ -38,10 +38,10 @@
   /// not.
   /// @param cost the expected time on the connection.
   void record_start(const link_request& request, duration cost);
-  /// Calls `visit` for each request that is to be served before this one, which
-  /// may be in the queue.
-  template <class Visit>
-  void for_each_before(const link_request& request, const Visit& visit) const;
+  /// The requests that are to be served before this one, which may be in the
+  /// queue.
+  std::vector<const link_request*> served_before(
+      const link_request& request) const;
   /// What the requests that are to be served before this one need at a
   /// database.
   claims claims_before(const link_request& request, std::size_t upstream,
@@ -53,8 +53,6 @@
                              boost::intrusive::constant_time_size<false>>;
 
   void sort();
-  std::vector<const link_request*> served_before(
-      const link_request& request) const;
 
   request_list queue_;
   fair_order order_;
@@ -89,10 +87,4 @@
   for (auto next = queue_.begin(); next != queue_.end();) visit(*next++);
 }
 
-template <class Visit>
-void wait_queue::for_each_before(const link_request& request,
-                                 const Visit& visit) const {
-  for (const auto* ahead : served_before(request)) visit(*ahead);
-}
-
 }  // namespace toucanmux
--- a/src/proxy/upstream-group-admission.cc
+++ b/src/proxy/upstream-group-admission.cc
@@ -69,35 +69,26 @@
 
 // More statements than slots wait in the database instead of here. The response
 // time over a link to another instance includes the wait there.
-unsigned upstream_group::lanes_at(std::size_t index,
-                                  const link_request& request) const {
+serving_state upstream_group::serving_state_at(
+    std::size_t index, const link_request& request) const {
+  const upstream& database = *upstreams_[index];
+  serving_state out;
+  out.response_time = database.response_time;
   if (uses_relay(index, request)) {
     auto capacity = sharing_->capacity(*this, index, request);
-    return static_cast<unsigned>(capacity.links);
+    out.lanes = static_cast<unsigned>(capacity.links);
+    out.running = static_cast<unsigned>(capacity.in_use);
+    return out;
   }
-  const upstream& database = *upstreams_[index];
   std::size_t lanes = database.links.size();
   bool may_open = loop_.now() >= database.full_until;
   if (may_open) lanes = std::max<std::size_t>(lanes, database.allowance.limit);
   if (database.entry.slots > 0)
     lanes = std::min<std::size_t>(lanes, database.entry.slots);
-  return static_cast<unsigned>(std::max<std::size_t>(lanes, 1));
-}
-
-void upstream_group::add_serving(std::size_t index, const link_request& request,
-                                 serving_state& state) const {
-  const upstream& database = *upstreams_[index];
-  auto lanes = lanes_at(index, request);
-  auto weight = static_cast<duration::rep>(lanes);
-  state.lanes += lanes;
-  state.response_time += database.response_time * weight;
-  if (uses_relay(index, request)) {
-    auto capacity = sharing_->capacity(*this, index, request);
-    state.running += static_cast<unsigned>(capacity.in_use);
-    return;
-  }
-  state.running += database.in_flight;
-  state.open_time += database.open_time * weight;
+  out.lanes = static_cast<unsigned>(std::max<std::size_t>(lanes, 1));
+  out.running = database.in_flight;
+  out.open_time = database.open_time;
+  return out;
 }
 
 // Adds the request's expected time to the work of the databases that may run
@@ -107,7 +98,8 @@
   std::vector<unsigned> lanes(upstreams_.size());
   unsigned sum = 0;
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
-    if (may_run(i, request)) sum += lanes[i] = lanes_at(i, request);
+    if (may_run(i, request))
+      sum += lanes[i] = serving_state_at(i, request).lanes;
   }
   work.resize(upstreams_.size());
   for (std::size_t i = 0; sum > 0 && i < upstreams_.size(); ++i)
@@ -127,7 +119,13 @@
     const link_request& request) const {
   serving_state out;
   for (std::size_t i = 0; i < upstreams_.size(); ++i) {
-    if (may_run(i, request)) add_serving(i, request, out);
+    if (!may_run(i, request)) continue;
+    auto part = serving_state_at(i, request);
+    auto weight = static_cast<duration::rep>(part.lanes);
+    out.lanes += part.lanes;
+    out.running += part.running;
+    out.response_time += part.response_time * weight;
+    out.open_time += part.open_time * weight;
   }
   if (out.lanes > 0) {
     out.response_time /= static_cast<duration::rep>(out.lanes);
@@ -146,8 +144,8 @@
     const link_request& request) const {
   auto state = serving_state_for(request);
   std::vector<duration> work;
-  queue_.for_each_before(
-      request, [&](const link_request& ahead) { add_work(ahead, work); });
+  for (const auto* ahead : queue_.served_before(request))
+    add_work(*ahead, work);
   state.work_ahead = work_for(request, work);
   return finish_estimate(state);
 }
--- a/src/proxy/upstream-group.h
+++ b/src/proxy/upstream-group.h
@@ -251,9 +251,8 @@
       std::span<upstream_candidate> candidates,
       const link_request& request) const;
   serving_state serving_state_for(const link_request& request) const;
-  unsigned lanes_at(std::size_t index, const link_request& request) const;
-  void add_serving(std::size_t index, const link_request& request,
-                   serving_state& state) const;
+  serving_state serving_state_at(std::size_t index,
+                                 const link_request& request) const;
   void add_work(const link_request& request, std::vector<duration>& work) const;
   duration work_for(const link_request& request,
                     std::span<const duration> work) const;
--- a/test/wait-queue-test.cc
+++ b/test/wait-queue-test.cc
@@ -131,11 +131,8 @@
   queue.for_each([&](link_request& each) { order.push_back(&each); });
   std::vector<const link_request*> expected{&small, &hot_3, &hot_2, &hot_1};
   BOOST_TEST((order == expected));
-  std::vector<const link_request*> before;
-  queue.for_each_before(
-      hot_1, [&](const link_request& each) { before.push_back(&each); });
   expected.pop_back();
-  BOOST_TEST((before == expected));
+  BOOST_TEST((queue.served_before(hot_1) == expected));
   {
     test_request leaving("small", 0);
     queue.push(leaving);
