--- a/src/proxy/placement/load-view.cc
+++ b/src/proxy/placement/load-view.cc
@@ -24,9 +24,9 @@
 // of the others' mean, so that a false report moves few reads.
 constexpr std::size_t min_instances = 8;
 constexpr double max_to_mean = 4;
-// Below these an instance is not limited. With 1 statement and 4 reads the
-// replay of a false report missed the bound: an ejected database has few other
-// reads, and 1 statement is more than the fleet's mean.
+// Below these an instance is not limited, since too few reports say what is
+// usual. An ejected database has few reads besides, and in a large fleet an
+// instance has less than one statement at a database in the mean.
 constexpr double min_load_limit = 0.25;
 constexpr double min_reads_limit = 1;
 constexpr double max_domain_load = 512;
--- a/src/proxy/placement/shed-control.cc
+++ b/src/proxy/placement/shed-control.cc
@@ -11,8 +11,8 @@
 // differences.
 constexpr double tolerated_ratio = 1.12;
 // Change of the share in a second for a load that exceeds the tolerated one by
-// the mean. A gain of 2 reacts to random differences as well: in the replay of
-// a crowded domain it moved half as many reads again between the domains.
+// the mean. Slower than reports arrive, so that random differences move few
+// reads between the domains.
 constexpr double gain = 0.5;
 // So that one late update does not move all reads at once.
 constexpr double max_excess = 0.8;
