Let pools survive the cancellation of a waiting statement

Cause: the pool looked up a cancelled statement among those of its link, told the worker, and erased the entry that it had found. The worker of a database on the same thread answers a statement that still waits at once, and the answer erases the same entry. It was erased twice.

Change: the entry is taken out before the worker is told.

--- a/src/process/pool-thread.cc
+++ b/src/process/pool-thread.cc
@@ -97,22 +97,21 @@
 
 void pool_thread::handle_message(std::uint64_t link, link_message&& message) {
   link_origin from{number_, link};
-  std::visit(overloaded{[&](statement& request) {
-                          dispatch(std::move(request), from);
-                        },
-                        [&](cancel& request) {
-                          auto& waiting = links_.at(link)->waiting;
-                          auto it = waiting.find(request.id);
-                          if (it == waiting.end()) return;
-                          run_on_thread(it->second, [id = request.id,
-                                                     from](pool_thread& other) {
-                            for (auto& [name, worker] : other.workers_)
-                              worker->cancel(id, from);
-                          });
-                          waiting.erase(it);
-                        },
-                        [](auto&) {}},
-             message);
+  std::visit(
+      overloaded{
+          [&](statement& request) { dispatch(std::move(request), from); },
+          [&](cancel& request) { cancel_statement(request.id, from); },
+          [](auto&) {}},
+      message);
+}
+
+// The answer to the cancelled statement may arrive before this returns.
+void pool_thread::cancel_statement(std::uint64_t id, const link_origin& from) {
+  auto waiting = links_.at(from.link)->waiting.extract(id);
+  if (waiting.empty()) return;
+  run_on_thread(waiting.mapped(), [id, from](pool_thread& other) {
+    for (auto& [name, worker] : other.workers_) worker->cancel(id, from);
+  });
 }
 
 void pool_thread::dispatch(statement&& request, const link_origin& from) {
--- a/src/process/pool-thread.h
+++ b/src/process/pool-thread.h
@@ -44,6 +44,7 @@
 
   void update_workers(const database_group& group);
   void handle_message(std::uint64_t link, link_message&& message);
+  void cancel_statement(std::uint64_t id, const link_origin& from);
   void dispatch(statement&& request, const link_origin& from);
   void submit(statement&& request, const link_origin& from);
   void deliver(std::uint64_t link, answer&& reply);
--- a/test/pool-thread-test.cc
+++ b/test/pool-thread-test.cc
@@ -66,10 +66,57 @@
       std::make_unique<pool_thread>(0, 1, settings, [](std::size_t, auto) {});
 };
 
+// A view in which the pool owns one database, which nobody listens for.
+fleet_view_ptr view_with_unreachable_database(const member& pool) {
+  database target;
+  target.id = database_id("db1");
+  target.domain = pool.domain;
+  target.address = "127.0.0.1";
+  target.port = 1;
+  database_group group;
+  group.id = group_id("ledger");
+  group.primary = target.id;
+  group.databases.push_back(target);
+  boost::intrusive_ptr<fleet_view> out(new fleet_view);
+  out->groups.emplace(group.id, group);
+  out->pools.push_back(pool);
+  out->choose_owners();
+  return out;
+}
+
 }  // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(application);
 
+// Guards against a pool that dies when a caller gives up a statement that still
+// waits: the refusal arrives while the cancellation is handled.
+BOOST_AUTO_TEST_CASE(waiting_statements_can_be_cancelled) {
+  pool_settings settings;
+  settings.process.self.id = member_id("pool-1");
+  settings.process.self.domain = domain_id("norte");
+  settings.process.self.role = member_role::pool;
+  pool_thread pool(0, 1, settings, [](std::size_t, auto) {});
+  pool.update(view_with_unreachable_database(settings.process.self));
+  slow_peer entry;
+  pool.adopt(entry.other_end());
+  constexpr std::uint64_t statements = 20;
+  std::string frames;
+  for (std::uint64_t id = 1; id <= statements; ++id) {
+    auto request = read_of("select 1");
+    request.id = id;
+    request.group = group_id("ledger");
+    request.database = database_id("db1");
+    request.time_left = std::chrono::seconds(5);
+    frames += make_frame(request) + make_frame(cancel{id});
+  }
+  entry.send(frames);
+  wait_until([&] {
+    entry.read();
+    return answered_ids(entry.received()).size() == statements;
+  });
+  BOOST_TEST(pool.idle(now()));
+}
+
 // Guards against a pool that ends while answers wait for a slow entry.
 BOOST_FIXTURE_TEST_CASE(a_pool_is_idle_once_its_answers_are_sent,
                         pool_fixture) {
