--- a/include/toucanmux/proxy/placement/upstream-choice.h
+++ b/include/toucanmux/proxy/placement/upstream-choice.h
@@ -22,7 +22,7 @@
   unsigned in_flight = 0;     ///< Statements that this instance runs there.
   duration response_time{0};  ///< Moving average.
   duration response_deviation{0};  ///< Mean deviation from that average.
-  duration idle_time{0};           ///< Since the last statement that it covers.
+  duration idle_time{0};           ///< Since the last answer in it.
   duration open_time{0};           ///< Usual time to open a connection.
   duration late_after{0};          ///< When an answer counts as late.
   unsigned slots = 1;       ///< Statements that it runs at the same time.
