Set up the view of an owner once in relay-test

Three tests repeated the setup and had to undo it, also one that was added with the owners' free connections.

--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -101,6 +101,30 @@
   std::unique_ptr<relay_server> server;
 };
 
+/// The owner shares its connections, and knows no other owner.
+struct owner_fixture : relay_fixture {
+  owner_fixture()
+      : own_view(loop, owner.log, owner.settings.self, domain_id("a")) {
+    own_view.set_instances(
+        {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
+    owner_group().set_sharing(&own_view);
+  }
+  ~owner_fixture() override { owner_group().set_sharing(nullptr); }
+  owner_fixture(const owner_fixture&) = delete;
+  owner_fixture(owner_fixture&&) = delete;
+  owner_fixture& operator=(const owner_fixture&) = delete;
+  owner_fixture& operator=(owner_fixture&&) = delete;
+
+  /// Sets the connection limit of the databases.
+  void set_limit(unsigned max_connections) {
+    owner_group().set_sharing(nullptr);
+    owner_group().set_policy({owner_group().id(), max_connections, 0});
+    owner_group().set_sharing(&own_view);
+  }
+
+  connection_sharing own_view;
+};
+
 /// A statement of one of the owner's own callers.
 struct owner_caller final : link_request {
   void on_link(upstream_link& link) override {
@@ -419,16 +443,12 @@
 
 // The target is fewer than 0.3 new connections for each statement. Teams are
 // drawn unevenly, and there are twice as many as the owner has connections.
-BOOST_AUTO_TEST_CASE(an_owner_reuses_connections_and_keeps_its_quota) {
+BOOST_FIXTURE_TEST_CASE(an_owner_reuses_connections_and_keeps_its_quota,
+                        owner_fixture) {
   constexpr unsigned max_connections = 13;
   constexpr std::size_t quota = 8;
   constexpr std::size_t statements = 300;
-  connection_sharing own_view(loop, owner.log, owner.settings.self,
-                              domain_id("a"));
-  own_view.set_instances(
-      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
-  owner_group().set_policy({owner_group().id(), max_connections, 0});
-  owner_group().set_sharing(&own_view);
+  set_limit(max_connections);
   std::vector<std::unique_ptr<line_client>> senders;
   for (std::size_t i = 0; i < 2 * quota; ++i) {
     senders.push_back(std::make_unique<line_client>(loop, server->address()));
@@ -447,21 +467,16 @@
   auto opened = static_cast<double>(owner_group().connections_opened());
   BOOST_TEST(opened < 0.3 * statements);
   BOOST_TEST(owner_group().connections_evicted() > 0U);
-  owner_group().set_sharing(nullptr);
 }
 
 // Guards against callers that wait while connections that other instances may
 // borrow are free, and against owners that keep these once they are idle.
-BOOST_AUTO_TEST_CASE(an_owner_uses_free_connections_while_callers_wait) {
+BOOST_FIXTURE_TEST_CASE(an_owner_uses_free_connections_while_callers_wait,
+                        owner_fixture) {
   constexpr unsigned max_connections = 13;
   constexpr std::size_t quota = 8;
   const std::size_t usable = usable_connections(max_connections);
-  connection_sharing own_view(loop, owner.log, owner.settings.self,
-                              domain_id("a"));
-  own_view.set_instances(
-      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
-  owner_group().set_policy({owner_group().id(), max_connections, 0});
-  owner_group().set_sharing(&own_view);
+  set_limit(max_connections);
   first.defer_answers = true;
   std::vector<std::unique_ptr<line_client>> senders;
   for (std::size_t i = 0; i < usable; ++i) {
@@ -479,24 +494,17 @@
   auto end = boot_time() + 1s;
   run_until([&] { return boot_time() >= end; });
   BOOST_TEST(first.connections() == quota);
-  owner_group().set_sharing(nullptr);
 }
 
 // Guards against closing an owner's connections as early as those of other
 // instances, after 0.3 to 1.5 s.
-BOOST_AUTO_TEST_CASE(an_owner_keeps_an_idle_connection) {
-  connection_sharing own_view(loop, owner.log, owner.settings.self,
-                              domain_id("a"));
-  own_view.set_instances(
-      {{{owner.settings.self, domain_id("a"), 100}, server->address()}});
-  owner_group().set_sharing(&own_view);
+BOOST_FIXTURE_TEST_CASE(an_owner_keeps_an_idle_connection, owner_fixture) {
   auto caller = connect("orders");
   caller->request("QUERY 1 FETCH 1");
   auto end = boot_time() + 2s;
   run_until([&] { return boot_time() >= end; });
   caller->request("QUERY 2 FETCH 1");
   BOOST_TEST(count(first.received_lines(), "CONNECT") == 1U);
-  owner_group().set_sharing(nullptr);
 }
 
 // Guards against statements that wait for ever once all links are open.
