Review case 8: a service takes no write any more after its primary was dark

With sync_replicas 1 and a replica that drains, the primary is dark for 5 s. The attempts to replace it pause the other replicas, and nothing resumes them. When the drained replica has ended no write is acknowledged any more, also after the restart of all processes.

--- a/review/standin-2/connection.cc
+++ b/review/standin-2/connection.cc
@@ -113,6 +113,12 @@
   return true;
 }
 
+bool connection::is_closed() const {
+  char next = 0;
+  auto count = recv(descriptor_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void connection::shut_down() { shutdown(descriptor_, SHUT_RDWR); }
 
 tcp_server::tcp_server(const std::string& ip, handler serve)
--- a/review/standin-2/connection.h
+++ b/review/standin-2/connection.h
@@ -47,6 +47,8 @@
   std::optional<std::string> read_bytes(std::size_t size);
   /// Returns false if the connection is broken.
   bool write(std::string_view bytes);
+  /// Whether the other end has closed the connection and sent nothing more.
+  bool is_closed() const;
   /// Ends both directions; a thread that reads or writes is woken.
   void shut_down();
 
--- a/review/standin-2/database-group.cc
+++ b/review/standin-2/database-group.cc
@@ -26,6 +26,8 @@
   std::string zone;
   bool is_primary = false;
   bool running = true;
+  bool dark = false;
+  bool draining = false;
   bool receives = true;
   bool reaches_store = true;
   std::uint64_t paused_term = 0;  ///< Receives nothing until a promote.
@@ -47,7 +49,7 @@
     if (!open()) return;
     for (;;) {
       auto line = caller_->read_line();
-      if (!line) break;
+      if (!line || was_dark()) break;
       auto rest = *line;
       if (pop_word(rest) != "QUERY") break;
       auto id = pop_word(rest);
@@ -58,9 +60,17 @@
   }
 
  private:
+  // Waits while the database is dark, and tells whether it was.
+  bool was_dark() {
+    std::unique_lock lock(group_.mutex_);
+    if (!database_.dark) return false;
+    group_.replicated_.wait(lock, [&] { return !database_.dark; });
+    return true;
+  }
+
   bool open() {
     auto line = caller_->read_line();
-    if (!line) return false;
+    if (!line || was_dark()) return false;
     auto rest = *line;
     bool known =
         pop_word(rest) == "CONNECT" && pop_word(rest) == group_.settings_.name;
@@ -215,7 +225,8 @@
     pending_ = {};
     auto position = end_of(database_);
     group_.replicate();
-    if (!group_.wait_until_replicated(lock, database_, position)) return false;
+    if (!group_.wait_until_replicated(lock, database_, position, *caller_))
+      return false;
     return answer(lock, "");
   }
 
@@ -241,7 +252,7 @@
   bool send(std::unique_lock<std::mutex>& lock, const std::string& text) {
     auto message = text + ready_line();
     lock.unlock();
-    return caller_->write(message);
+    return !was_dark() && caller_->write(message);
   }
   std::string ready_line() const {
     return std::string("READY ") + state_ + ' ' + end_of(database_).text() +
@@ -262,21 +273,24 @@
                                const std::vector<member>& members,
                                const std::string& ip, object_store& store,
                                record& log)
-    : settings_(values), store_(store), log_(log) {
-  for (const auto& each : members) {
-    auto one = std::make_unique<database>();
-    one->id = each.id;
-    one->zone = each.zone;
-    one->is_primary = databases_.empty();
-    one->term = term_;
-    one->log.push_back({{term_, 100}, {}, {}});
-    database* own = one.get();
-    one->server = std::make_unique<tcp_server>(
-        ip, [this, own](const connection_ptr& caller) {
-          session(*this, *own, caller).run();
-        });
-    databases_.push_back(std::move(one));
-  }
+    : settings_(values), ip_(ip), store_(store), log_(log) {
+  for (const auto& each : members) start_database(each);
+}
+
+database_group::database& database_group::start_database(const member& added) {
+  auto one = std::make_unique<database>();
+  one->id = added.id;
+  one->zone = added.zone;
+  one->is_primary = databases_.empty();
+  one->term = term_;
+  one->log.push_back({{term_, 100}, {}, {}});
+  database* own = one.get();
+  one->server = std::make_unique<tcp_server>(
+      ip_, [this, own](const connection_ptr& caller) {
+        session(*this, *own, caller).run();
+      });
+  databases_.push_back(std::move(one));
+  return *own;
 }
 
 database_group::~database_group() = default;
@@ -305,14 +319,14 @@
 }
 
 void database_group::write_entry(database& one) {
-  if (!one.running || !one.reaches_store) return;
+  if (!one.running || !one.reaches_store || one.dark) return;
   store_.put("servers", one.id,
              {{"service", settings_.name},
               {"addr", one.server->where().text()},
               {"zone", one.zone},
               {"version", "v1"},
               {"slots", settings_.slots},
-              {"state", "ready"},
+              {"state", one.draining ? "draining" : "ready"},
               {"cold_left_ms", 0},
               {"db_role", one.is_primary ? "primary" : "replica"},
               {"seq", ++one.sequence},
@@ -352,10 +366,45 @@
   replicate();
 }
 
+void database_group::set_dark(const std::string& id, bool dark) {
+  std::lock_guard lock(mutex_);
+  auto* one = find(id);
+  one->dark = dark;
+  write_entry(*one);
+  replicate();
+}
+
+void database_group::add_replica(const member& added) {
+  std::lock_guard lock(mutex_);
+  auto& one = start_database(added);
+  replicate();
+  write_entry(one);
+}
+
+void database_group::drain(const std::string& id) {
+  std::lock_guard lock(mutex_);
+  auto* one = find(id);
+  one->draining = true;
+  write_entry(*one);
+}
+
+void database_group::end_drained(const std::string& id,
+                                 const std::string& successor) {
+  std::lock_guard lock(mutex_);
+  auto* one = find(id);
+  auto* next = find(successor);
+  if (end_of(*next) < end_of(*one)) receive_log(*next, *one);
+  one->running = false;
+  one->connections = 0;
+  one->server->stop();
+  store_.remove("servers", id);
+  replicated_.notify_all();
+}
+
 bool database_group::promote(const std::string& id) {
   std::lock_guard lock(mutex_);
   auto* chosen = find(id);
-  if (!chosen || !chosen->running) return false;
+  if (!chosen || !chosen->running || chosen->dark) return false;
   if (chosen->is_primary && chosen->term == term_) return true;
   ++term_;
   for (auto& one : databases_) {
@@ -400,11 +449,12 @@
 
 void database_group::replicate() {
   for (auto& leader : databases_) {
-    if (!leader->is_primary || !leader->running || leader->term != term_)
+    if (!leader->is_primary || !leader->running || leader->dark ||
+        leader->term != term_)
       continue;
     for (auto& replica : databases_) {
       if (replica == leader || !replica->running || !replica->receives ||
-          replica->paused_term != 0)
+          replica->dark || replica->paused_term != 0)
         continue;
       receive_log(*replica, *leader);
     }
@@ -424,19 +474,26 @@
   replica.term = leader.term;
 }
 
+// False if the primary ends or is replaced, or if the caller does not wait any
+// more.
 bool database_group::wait_until_replicated(std::unique_lock<std::mutex>& lock,
                                            database& leader,
-                                           const log_position& position) {
+                                           const log_position& position,
+                                           const connection& caller) {
   auto enough = [&] {
-    auto having = std::count_if(
-        databases_.begin(), databases_.end(), [&](const auto& one) {
-          return one.get() != &leader && !(end_of(*one) < position);
-        });
+    auto having = std::count_if(databases_.begin(), databases_.end(),
+                                [&](const auto& one) {
+                                  return one.get() != &leader && one->running &&
+                                         !(end_of(*one) < position);
+                                });
     return static_cast<unsigned>(having) >= settings_.sync_replicas;
   };
-  replicated_.wait(
-      lock, [&] { return enough() || !leader.running || !leader.is_primary; });
-  return leader.running && leader.is_primary && enough();
+  constexpr milliseconds check_interval(50);
+  while (!enough() && leader.running && leader.is_primary) {
+    replicated_.wait_for(lock, check_interval);
+    if (caller.is_closed()) return false;
+  }
+  return leader.running && leader.is_primary;
 }
 
 }  // namespace review
--- a/review/standin-2/database-group.h
+++ b/review/standin-2/database-group.h
@@ -75,6 +75,16 @@
   /// Starts it again with its log.
   void restart(const std::string& id);
 
+  /// Whether the database is dark: it answers nothing, and sends no heartbeats
+  /// and no commits. Its connections end when it returns.
+  void set_dark(const std::string& id, bool dark);
+  /// Starts another replica, which receives the whole log.
+  void add_replica(const member& added);
+  /// The database reports that it drains; it serves and receives as before.
+  void drain(const std::string& id);
+  /// The draining database ends; `successor` gets its log.
+  void end_drained(const std::string& id, const std::string& successor);
+
   /// Makes the database the leader of the next term with what it has received;
   /// false if it does not run. Replicas that are ahead are rolled back.
   bool promote(const std::string& id);
@@ -88,15 +98,18 @@
   class session;
 
   database* find(const std::string& id);
+  database& start_database(const member& added);
   void heartbeat_loop();
   void write_entry(database& one);
   void replicate();
   void receive_log(database& replica, const database& leader);
   bool wait_until_replicated(std::unique_lock<std::mutex>& lock,
-                             database& leader, const log_position& position);
+                             database& leader, const log_position& position,
+                             const connection& caller);
   static log_position end_of(const database& one);
 
   settings settings_;
+  std::string ip_;
   object_store& store_;
   record& log_;
   std::mutex mutex_;
